A target counts as full by its slots where waiting behind another attempt is late

Change: slots alone count where twice the expected latency passes the aim.

Log lines of requests name cause and age of the attempts that are still awaited.

--- a/crates/dispatch/src/dispatch_plan.rs
+++ b/crates/dispatch/src/dispatch_plan.rs
@@ -20,6 +20,7 @@
 use crate::target_pick::PickContext;
 use crate::target_pick::expected_latency;
 use crate::target_pick::expected_with_connection;
+use crate::target_pick::has_room;
 use crate::target_pick::pick_target;
 use crate::target_pick::queued_latency;
 use crate::target_state::TargetState;
@@ -43,9 +44,6 @@
 /// A shard is left out if its fastest target is expected to take this many times the time to the aim.
 const OVERLOAD_FACTOR: f64 = 1.0;
 
-/// A target is full when this host has this many times its slots in flight there. Fewer are in flight in a pause as well.
-const FULL_FACTOR: f64 = 1.5;
-
 /// Draw that takes the usual version while a pool moves: what failed at the new version is repeated at the old one.
 const USUAL_VERSION: f64 = 1.0;
 
@@ -130,6 +128,7 @@
 struct AttemptPlan {
     shard: usize,
     target: Arc<TargetState>,
+    cause: SendCause,
     sent: Duration,
     is_over: bool,
 }
@@ -197,7 +196,7 @@
         now: Duration,
         rng: &mut impl Rng,
     ) -> Option<SendOrder> {
-        let AttemptPlan { shard, ref target, sent, is_over } = self.attempts[attempt];
+        let AttemptPlan { shard, ref target, sent, is_over, .. } = self.attempts[attempt];
         if is_over {
             return None;
         }
@@ -326,10 +325,17 @@
         self.attempts.len()
     }
 
-    /// Ids of the targets that have not replied, separated by blanks.
-    pub fn waiting_targets(&self) -> String {
-        let waiting = self.attempts.iter().filter(|attempt| !attempt.is_over);
-        waiting.map(|attempt| &*attempt.target.record.id).collect::<Vec<_>>().join(" ")
+    /// Attempts without a reply whose shards have no answer: target, cause and age of each, separated by blanks.
+    pub fn waiting_attempts(&self, now: Duration) -> String {
+        let waiting = self
+            .attempts
+            .iter()
+            .filter(|attempt| !attempt.is_over && self.shards[attempt.shard].answer.is_none());
+        let entries = waiting.map(|attempt| {
+            let (id, cause) = (&attempt.target.record.id, attempt.cause.label());
+            format!("{id}:{cause}:{}ms", now.saturating_sub(attempt.sent).as_millis())
+        });
+        entries.collect::<Vec<_>>().join(" ")
     }
 
     /// Whether the request may run more than once.
@@ -382,7 +388,7 @@
         }
         let limit = self.times.aim.saturating_sub(now).mul_f64(OVERLOAD_FACTOR);
         let mut slow: Vec<(Duration, usize)> = (0..self.shards.len())
-            .filter_map(|shard| Some((self.least_queued_latency(shard, now)?, shard)))
+            .filter_map(|shard| Some((self.least_queued_latency(shard, limit, now)?, shard)))
             .filter(|(latency, _)| limit < *latency)
             .collect();
         slow.sort_unstable();
@@ -390,8 +396,13 @@
     }
 
     /// Expected latency of the least loaded target of a shard, behind what this host has in flight there. `None` if one
-    /// has fewer attempts in flight than slots: it has room, however slow it is.
-    fn least_queued_latency(&self, shard: usize, now: Duration) -> Option<Duration> {
+    /// has room for an attempt that answers within `limit`.
+    fn least_queued_latency(
+        &self,
+        shard: usize,
+        limit: Duration,
+        now: Duration,
+    ) -> Option<Duration> {
         let pool = self.shards[shard].pool.as_ref()?;
         let context = self.context(pool, now);
         let targets = || {
@@ -399,10 +410,7 @@
                 |target: &&Arc<TargetState>| self.route.allows_region(target.region.as_ref());
             pool.targets.iter().filter(allowed)
         };
-        let has_room = targets().any(|target| {
-            f64::from(target.in_flight()) < FULL_FACTOR * f64::from(target.record.slots)
-        });
-        if has_room {
+        if targets().any(|target| has_room(target, &context, limit)) {
             return None;
         }
         targets().map(|target| queued_latency(target, &context)).min()
@@ -471,6 +479,7 @@
         self.attempts.push(AttemptPlan {
             shard,
             target: Arc::clone(&target),
+            cause,
             sent: now,
             is_over: false,
         });
--- a/crates/dispatch/src/target_pick.rs
+++ b/crates/dispatch/src/target_pick.rs
@@ -28,6 +28,9 @@
 /// Cost of choosing a target that was lost a moment ago.
 const AVOIDANCE_COST: Duration = Duration::from_secs(10);
 
+/// A target is full when this host has this many times its slots in flight there.
+const FULL_FACTOR: f64 = 1.5;
+
 /// Spread of the random factor that keeps hosts from choosing the same of several equal targets.
 const SPREAD: f64 = 0.15;
 
@@ -49,7 +52,8 @@
     rng: &mut impl Rng,
     is_excluded: impl Fn(&TargetState) -> bool,
 ) -> Option<&'a Arc<TargetState>> {
-    let usable = targets.iter().filter(|target| !is_excluded(target) && has_room(target, context));
+    let usable =
+        targets.iter().filter(|target| !is_excluded(target) && has_cold_room(target, context));
     let costs = usable.map(|target| {
         let spread = 1.0 + rng.random_range(0.0..SPREAD);
         (target, expected_cost(target, context).mul_f64(spread))
@@ -84,6 +88,16 @@
     expected_with_connection(target, context).mul_f64(1.0 + queued)
 }
 
+/// Whether the target has room for one more attempt of this host that answers within `limit`.
+///
+/// Where an attempt that waits behind another is late, only slots count. Elsewhere more attempts than slots are in flight
+/// in every short pause of a target, which is no lack of room.
+pub fn has_room(target: &TargetState, context: &PickContext<'_>, limit: Duration) -> bool {
+    let is_queue_late = limit < expected_latency(target, context) * 2;
+    let factor = if is_queue_late { 1.0 } else { FULL_FACTOR };
+    f64::from(target.in_flight()) < factor * f64::from(target.record.slots)
+}
+
 fn expected_cost(target: &TargetState, context: &PickContext<'_>) -> Duration {
     let now = context.now;
     let mut cost = queued_latency(target, context);
@@ -100,7 +114,7 @@
     cost
 }
 
-fn has_room(target: &TargetState, context: &PickContext<'_>) -> bool {
+fn has_cold_room(target: &TargetState, context: &PickContext<'_>) -> bool {
     match context.cold_allowance {
         Some(allowed) if target.is_cold(context.now) => target.has_cold_room(allowed, context.now),
         _ => true,
--- a/crates/dispatch/tests/load.rs
+++ b/crates/dispatch/tests/load.rs
@@ -36,7 +36,7 @@
 }
 
 /// Three shards of 20 can each serve 56 of 100 requests a second. Sending all of them all requests fills their queues, so
-/// that none answers in time (credit 7 of 100 before). With 18 shards every caller needs one of the three, which they can
+/// that none answers in time (credit 7 of 100). With 18 shards every caller needs one of the three, which they can
 /// carry at 168 a second; but their work takes 43 to 101 ms of the aim, so that one that waits behind another is late. Half
 /// of the callers must get the 0.81 that 18 shards are worth.
 #[test]
--- a/crates/relay/src/request_flow.rs
+++ b/crates/relay/src/request_flow.rs
@@ -374,7 +374,7 @@
             shards,
             answered,
             sent = self.plan.sent_count(),
-            waiting = self.plan.waiting_targets(),
+            waiting = self.plan.waiting_attempts(now),
             trouble = self.trouble.join("; "),
             "request ended"
         );
