Hedges go out earlier, and none to overloaded targets

Change: hedges from 1.5 times the expected latency instead of 2; the budget is taken only when a target is there; a hedge to a target that is slow and has its slots taken is not sent.

--- a/crates/dispatch/src/dispatch_plan.rs
+++ b/crates/dispatch/src/dispatch_plan.rs
@@ -21,6 +21,7 @@
 use crate::target_pick::expected_latency;
 use crate::target_pick::expected_with_connection;
 use crate::target_pick::has_room;
+use crate::target_pick::is_overloaded;
 use crate::target_pick::pick_target;
 use crate::target_pick::queued_latency;
 use crate::target_state::TargetState;
@@ -29,8 +30,9 @@
 /// Sends of one shard at most, those that were not run included.
 const MOST_SENDS: usize = 4;
 
-/// An attempt is not hedged before this many times its expected latency: most late ones answer by then.
-const EARLIEST_HEDGE: f64 = 2.0;
+/// An attempt is not hedged before this many times its expected latency: most late ones answer by then. Where targets
+/// of other regions have no open connection, later hedges return after the aim.
+const EARLIEST_HEDGE: f64 = 1.5;
 
 /// A hedge is sent while this many times the expected latency of its target is left of the aim.
 const HEDGE_ROOM: f64 = 1.4;
@@ -452,13 +454,14 @@
         if !self.may_send(shard) || self.times.give_up <= now {
             return None;
         }
+        let target = self.pick(shard, cause, now, rng)?;
         let state = &self.shards[shard];
         let pool = state.pool.as_ref()?;
         let is_first = state.sends == 0;
         if !is_first && !pool.state.budget.take(&self.view.budget, self.view.hosts, now) {
             return None;
         }
-        self.send(shard, cause, now, rng)
+        Some(self.send_to(shard, target, cause, now))
     }
 
     fn send(
@@ -469,6 +472,16 @@
         rng: &mut impl Rng,
     ) -> Option<SendOrder> {
         let target = self.pick(shard, cause, now, rng)?;
+        Some(self.send_to(shard, target, cause, now))
+    }
+
+    fn send_to(
+        &mut self,
+        shard: usize,
+        target: Arc<TargetState>,
+        cause: SendCause,
+        now: Duration,
+    ) -> SendOrder {
         let wake = self.hedge_time(shard, &target, now);
         let state = &mut self.shards[shard];
         state.sends += 1;
@@ -483,7 +496,7 @@
             sent: now,
             is_over: false,
         });
-        Some(SendOrder { attempt, shard, target, cause })
+        SendOrder { attempt, shard, target, cause }
     }
 
     fn pick(
@@ -503,8 +516,13 @@
             !self.route.allows_region(target.region.as_ref())
                 || !pool.versions.allows(target, self.draw, pool.state.move_share())
         };
+        // A hedge to such a target returns late, and takes the place of a first attempt.
+        let left = self.times.aim.saturating_sub(now);
+        let is_vain = |target: &TargetState| {
+            cause == SendCause::Hedge && is_overloaded(target, &context, left)
+        };
         let fresh = pick_target(&pool.targets, &context, rng, |target| {
-            is_tried(target) || is_barred(target)
+            is_tried(target) || is_barred(target) || is_vain(target)
         });
         if let Some(target) = fresh {
             return Some(Arc::clone(target));
--- a/crates/dispatch/src/target_pick.rs
+++ b/crates/dispatch/src/target_pick.rs
@@ -28,6 +28,9 @@
 /// Cost of choosing a target that was lost a moment ago.
 const AVOIDANCE_COST: Duration = Duration::from_secs(10);
 
+/// A target is slow when it takes this many times the usual latency; the differing speeds of targets stay below it.
+const SLOW_FACTOR: f64 = 2.0;
+
 /// A target is full when this host has this many times its slots in flight there.
 const FULL_FACTOR: f64 = 1.5;
 
@@ -88,14 +91,21 @@
     expected_with_connection(target, context).mul_f64(1.0 + queued)
 }
 
-/// Whether the target has room for one more attempt of this host that answers within `limit`.
-///
-/// Where an attempt that waits behind another is late, only slots count. Elsewhere more attempts than slots are in flight
-/// in every short pause of a target, which is no lack of room.
+/// Whether one more attempt of this host would have to wait at the target and miss `limit`.
+pub fn is_queue_late(target: &TargetState, context: &PickContext<'_>, limit: Duration) -> bool {
+    target.record.slots <= target.in_flight() && limit < expected_latency(target, context) * 2
+}
+
+/// Whether the target is slow and one more attempt of this host would have to wait there and miss `limit`.
+pub fn is_overloaded(target: &TargetState, context: &PickContext<'_>, limit: Duration) -> bool {
+    SLOW_FACTOR <= target.slowness(context.now) && is_queue_late(target, context, limit)
+}
+
+/// Whether the target has room for one more attempt of this host that answers within `limit`. In every short pause of a
+/// target and on the way to other regions more attempts than slots are in flight, which is no lack of room.
 pub fn has_room(target: &TargetState, context: &PickContext<'_>, limit: Duration) -> bool {
-    let is_queue_late = limit < expected_latency(target, context) * 2;
-    let factor = if is_queue_late { 1.0 } else { FULL_FACTOR };
-    f64::from(target.in_flight()) < factor * f64::from(target.record.slots)
+    f64::from(target.in_flight()) < FULL_FACTOR * f64::from(target.record.slots)
+        && !is_queue_late(target, context, limit)
 }
 
 fn expected_cost(target: &TargetState, context: &PickContext<'_>) -> Duration {
--- a/crates/dispatch/tests/dispatch_sessions.rs
+++ b/crates/dispatch/tests/dispatch_sessions.rs
@@ -114,6 +114,18 @@
     insta::assert_snapshot!(lines);
 }
 
+/// Guards against hedges that are sent in vain: a target of another region without a connection takes 88 ms of the aim.
+#[test]
+fn a_hedge_that_has_to_open_a_connection_returns_before_the_aim() {
+    let lines = play(&search_view(3, 0.9), "/search/x", |id| match id {
+        "n1" => None,
+        "r1" => Some((88, ANSWERED)),
+        _ => Some((8, ANSWERED)),
+    });
+    insta::assert_snapshot!(lines);
+    assert!(lines.ends_with("answered by 3 attempts, 0 missing\n"), "{lines}");
+}
+
 /// Guards against answers that wait for a lost shard until their deadline.
 #[test]
 fn a_search_with_enough_shards_goes_out_at_its_aim() {
