--- a/crates/dispatch/src/dispatch_plan.rs
+++ b/crates/dispatch/src/dispatch_plan.rs
@@ -115,7 +115,7 @@
 
 #[derive(Debug)]
 struct ShardPlan {
-    pool: Option<PoolView>,
+    pool: Option<Arc<PoolView>>,
     sends: usize,
     in_flight: usize,
     /// Attempts that have run or may have.
@@ -567,7 +567,7 @@
 }
 
 impl ShardPlan {
-    fn new(pool: Option<PoolView>) -> Self {
+    fn new(pool: Option<Arc<PoolView>>) -> Self {
         Self { pool, sends: 0, in_flight: 0, runs: 0, answer: None, failure: None, wake: None }
     }
 
--- a/crates/dispatch/src/registry.rs
+++ b/crates/dispatch/src/registry.rs
@@ -292,7 +292,7 @@
         Some(ServingView {
             version: config.version,
             table: RouteTable::new(&config.routes),
-            pools,
+            pools: pools.into_iter().map(|(id, pool)| (id, Arc::new(pool))).collect(),
             routes: self.routes.clone(),
             limits: config.limits,
             hosts: (self.hosts.len() + self.gone_hosts.len()).max(1),
--- a/crates/dispatch/src/serving_view.rs
+++ b/crates/dispatch/src/serving_view.rs
@@ -22,7 +22,7 @@
     /// Routes of that version.
     pub table: RouteTable,
     /// Pools of that version with their targets.
-    pub pools: HashMap<PoolId, PoolView>,
+    pub pools: HashMap<PoolId, Arc<PoolView>>,
     /// State of routes by their name.
     pub routes: HashMap<Arc<str>, Arc<RouteState>>,
     /// Limits on what callers send.
