vanillapick-ctl explain: the story of a request from the logs of hosts

Cause: the on-call steps asked for greps over the logs of all hosts, and for counting by eye how many requests name a target. Change: explain shows the lines of a request, what its host believed then, and the neighbours of each target. The test of commands counts 14 instead of 13. Library: humantime, for the time stamps.

--- /dev/null
+++ b/crates/ctl/src/commands/explain.rs
@@ -0,0 +1,154 @@
+//! `explain REQUEST-ID FILE…`.
+
+use std::collections::BTreeMap;
+use std::path::Path;
+use std::time::Duration;
+use std::time::SystemTime;
+
+use serde_json::Map;
+use serde_json::Value;
+
+use crate::arguments::CommandArguments;
+use crate::error::CommandError;
+use crate::output::CommandOutput;
+
+pub(crate) const HELP: &str = "\
+usage: vanillapick-ctl explain REQUEST-ID FILE...
+
+Shows what the logs of hosts say about one request, in order of time: its lines with all fields, what its host believed
+then, and for each target it waited for or lost, how many other requests name that target within a second. Many
+mean a slow or lost target, few mean one of its pauses. Each line of FILE is one JSON object, with or without a prefix whose
+last word names the host; without one, the name of FILE stands for the host. Exit status 1 if no line names the request.
+
+example:
+  vanillapick-ctl explain 1334e77857d145bc examples/logs/host-1.log examples/logs/host-2.log
+";
+
+/// Messages about what a host believes; the latest of each before a request is shown with it.
+const BELIEFS: [&str; 6] = [
+    "configuration in force",
+    "view installed",
+    "source of changes",
+    "store lost",
+    "store regained",
+    "host is leaving",
+];
+
+/// Requests within this time of another one that name the same target count as its neighbours.
+const NEIGHBOURHOOD: Duration = Duration::from_secs(1);
+
+/// Fields that every line has and that are shown apart.
+const FRAME: [&str; 4] = ["timestamp", "level", "message", "request_id"];
+
+/// One line of a log.
+struct LogLine {
+    at: SystemTime,
+    stamp: String,
+    host: String,
+    message: String,
+    fields: Map<String, Value>,
+}
+
+pub(crate) fn run(
+    mut arguments: CommandArguments,
+    output: &mut CommandOutput,
+) -> Result<(), CommandError> {
+    let request = arguments.word("REQUEST-ID")?;
+    let mut files = vec![arguments.word("FILE")?];
+    while let Some(file) = arguments.optional_word()? {
+        files.push(file);
+    }
+    arguments.finish()?;
+
+    let mut lines = Vec::new();
+    for file in &files {
+        let text = std::fs::read(file).map_err(|error| {
+            CommandError::wrong_input(error.to_string(), file.as_str(), "name a readable file")
+        })?;
+        let stem = Path::new(file).file_stem().unwrap_or_default().to_string_lossy();
+        lines.extend(String::from_utf8_lossy(&text).lines().filter_map(|line| read(line, &stem)));
+    }
+    lines.sort_by_key(|line| line.at);
+    let own: Vec<usize> =
+        (0..lines.len()).filter(|index| lines[*index].text("request_id") == request).collect();
+    if own.is_empty() {
+        let label = format!("no line names the request {request:?}");
+        let help = "requests answered whole and in time have no line; name the logs of all hosts of \
+                    the caller's failure domain";
+        return Err(CommandError::refused(label, files.join(" "), help));
+    }
+    for index in own {
+        explain(&lines, index, output);
+    }
+    Ok(())
+}
+
+fn explain(lines: &[LogLine], index: usize, output: &mut CommandOutput) {
+    let line = &lines[index];
+    output.line(&format!("{} {}: {}", line.stamp, line.host, line.message));
+    for (name, value) in line.own_fields() {
+        output.line(&format!("  {name}: {value}"));
+    }
+    let mut beliefs: BTreeMap<&str, &LogLine> = BTreeMap::new();
+    let earlier = lines[..index].iter().filter(|earlier| earlier.host == line.host);
+    for earlier in earlier.filter(|earlier| BELIEFS.contains(&earlier.message.as_str())) {
+        beliefs.insert(&earlier.message, earlier);
+    }
+    for belief in beliefs.values() {
+        let age = line.at.duration_since(belief.at).unwrap_or_default().as_secs_f64();
+        let fields = belief.own_fields().map(|(name, value)| format!("{name}={value}"));
+        let fields: Vec<String> = fields.collect();
+        output.line(&format!("  {age:.3} s before: {} {}", belief.message, fields.join(" ")));
+    }
+    for target in line.targets() {
+        let neighbours = lines.iter().enumerate().filter(|(number, other)| {
+            *number != index && other.is_near(line) && other.targets().contains(&target)
+        });
+        let count = neighbours.count();
+        output.line(&format!("  {target}: named by {count} other requests within 1 s"));
+    }
+}
+
+/// Reads one line; `None` for one that is no line of a log.
+fn read(line: &str, file: &str) -> Option<LogLine> {
+    let (prefix, json) = line.split_at(line.find('{')?);
+    let mut fields: Map<String, Value> = serde_json::from_str(json).ok()?;
+    let stamp = fields.get("timestamp")?.as_str()?.to_owned();
+    let message = fields.get("message")?.as_str()?.to_owned();
+    let host = prefix.split_whitespace().next_back().unwrap_or(file).to_owned();
+    let at = humantime::parse_rfc3339(&stamp).ok()?;
+    fields.retain(|_, value| !value.is_null());
+    Some(LogLine { at, stamp, host, message, fields })
+}
+
+impl LogLine {
+    fn text(&self, field: &str) -> &str {
+        self.fields.get(field).and_then(Value::as_str).unwrap_or_default()
+    }
+
+    /// Fields that only lines of this message have, with texts as they are.
+    fn own_fields(&self) -> impl Iterator<Item = (&String, String)> {
+        let fields = self.fields.iter().filter(|(name, _)| !FRAME.contains(&name.as_str()));
+        fields.map(|(name, value)| {
+            let text = value.as_str().map_or_else(|| value.to_string(), str::to_owned);
+            (name, text)
+        })
+    }
+
+    /// Targets that a request waited for or that failed it, each once.
+    fn targets(&self) -> Vec<&str> {
+        let waiting = self.text("waiting").split_whitespace();
+        let trouble = self.text("trouble").split("; ");
+        let entries = waiting.chain(trouble).filter_map(|entry| entry.split(':').next());
+        let mut targets: Vec<&str> = entries.filter(|target| !target.is_empty()).collect();
+        targets.sort_unstable();
+        targets.dedup();
+        targets
+    }
+
+    fn is_near(&self, other: &Self) -> bool {
+        let (earlier, later) =
+            if self.at < other.at { (self.at, other.at) } else { (other.at, self.at) };
+        later.duration_since(earlier).is_ok_and(|between| between <= NEIGHBOURHOOD)
+    }
+}
--- a/crates/ctl/src/commands/mod.rs
+++ b/crates/ctl/src/commands/mod.rs
@@ -13,6 +13,7 @@
 mod move_status;
 mod move_cancel;
 mod status;
+mod explain;
 
 use crate::arguments::CommandArguments;
 use crate::context::CommandContext;
@@ -68,6 +69,11 @@
         help: move_cancel::HELP,
     },
     CommandEntry { name: "status", summary: "show what the hosts do", help: status::HELP },
+    CommandEntry {
+        name: "explain",
+        summary: "show what logs say of a request",
+        help: explain::HELP,
+    },
 ];
 
 /// Whether commands that start with `word` have a second word.
@@ -95,6 +101,7 @@
         "move start" => move_start::run(context, arguments, output).await,
         "move status" => move_status::run(context, arguments, output).await,
         "move cancel" => move_cancel::run(context, arguments, output).await,
+        "explain" => explain::run(arguments, output),
         _ => status::run(context, arguments, output).await,
     }
 }
--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -29,6 +29,14 @@
         Self::new(ExitStatus::WrongInput, vec![finding(place, label, help)])
     }
 
+    pub(crate) fn refused(
+        label: impl Into<String>,
+        place: impl Into<String>,
+        help: impl Into<String>,
+    ) -> Self {
+        Self::new(ExitStatus::Refused, vec![finding(place, label, help)])
+    }
+
     /// Findings of a file, as a rendered report.
     pub(crate) fn of_report(report: String) -> Self {
         Self { status: ExitStatus::WrongInput, findings: Vec::new(), report }
--- a/crates/ctl/tests/sessions.rs
+++ b/crates/ctl/tests/sessions.rs
@@ -340,7 +340,7 @@
         .take_while(|line| !line.is_empty())
         .filter_map(|line| line.trim().split("  ").next().map(str::to_owned))
         .collect();
-    assert_eq!(commands.len(), 13);
+    assert_eq!(commands.len(), 14);
     for command in commands {
         let help = operator.run(&format!("{command} --help")).await;
         assert!(help.contains(&format!("usage: vanillapick-ctl {command}")), "{help}");
