--- a/crates/ctl/tests/operator_pages.rs
+++ b/crates/ctl/tests/operator_pages.rs
@@ -204,6 +204,6 @@
         }
     }
     assert!(faults.is_empty(), "{}", faults.join("\n"));
-    let all = ["check", "domain", "edit", "move", "pool", "route", "show", "status"];
+    let all = ["check", "domain", "edit", "explain", "move", "pool", "route", "show", "status"];
     assert_eq!(names, all.map(str::to_owned).into());
 }
