Connections of callers end after some seconds where another region has one failure domain

Callers that were sent to another region stay with their connections, 12 ms away. Ruled out: targets, connections to targets, hedges: the hosts' logs show answers in time and few partial ones. Change: a connection ends with its next answer from an age of 3 to 4.2 s on, where another region has one failure domain. Trial that was not taken: the limit on all deployments.

--- a/crates/dispatch/src/registry.rs
+++ b/crates/dispatch/src/registry.rs
@@ -71,6 +71,18 @@
 }
 
 impl HostPlace {
+    /// Whether callers of another region may be sent here: a region with one failure domain has no other host for them
+    /// while that domain is away.
+    pub fn has_far_callers(&self) -> bool {
+        let own = self.regions.get(&self.domain);
+        let others = self.regions.values().filter(|region| Some(*region) != own);
+        let mut domains: BTreeMap<&RegionId, usize> = BTreeMap::new();
+        for region in others {
+            *domains.entry(region).or_default() += 1;
+        }
+        domains.values().any(|count| *count == 1)
+    }
+
     /// Distance to a failure domain; one that is not listed counts as remote.
     pub fn distance(&self, domain: &str) -> TargetDistance {
         if domain == self.domain {
--- a/crates/dispatch/tests/registry.rs
+++ b/crates/dispatch/tests/registry.rs
@@ -12,6 +12,7 @@
 use common::route;
 use vanillapick_dispatch::config_document::RepeatRule;
 use vanillapick_dispatch::config_document::RoutePools;
+use vanillapick_dispatch::registry::HostPlace;
 use vanillapick_dispatch::registry::StoreFact;
 use vanillapick_dispatch::registry::StoreRegistry;
 use vanillapick_dispatch::target_record::TargetRecord;
@@ -110,3 +111,23 @@
     registry.expire(Duration::from_secs(6));
     assert_eq!((at_once, registry.view().expect("known").hosts), (3, 2));
 }
+
+/// Guards against connections that are ended where callers have another near host.
+#[test]
+fn callers_of_another_region_come_where_a_region_has_one_domain() {
+    let place = |regions: &[(&str, &str)]| HostPlace {
+        domain: "a".to_owned(),
+        regions: regions
+            .iter()
+            .map(|(domain, region)| ((*domain).to_owned(), (*region).into()))
+            .collect(),
+    };
+    let seen = [
+        place(&[("a", "east")]),
+        place(&[("a", "east"), ("b", "east")]),
+        place(&[("a", "east"), ("b", "west")]),
+        place(&[("a", "east"), ("b", "west"), ("c", "west")]),
+    ]
+    .map(|place| place.has_far_callers());
+    assert_eq!(seen, [false, false, true, false]);
+}
--- a/crates/relay/src/caller_server.rs
+++ b/crates/relay/src/caller_server.rs
@@ -12,6 +12,7 @@
 use hyper::header::HeaderValue;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use rand::Rng;
 use tokio::net::TcpListener;
 use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
@@ -33,6 +34,14 @@
 /// Read buffer of a connection of a caller before a configuration sets the size of a request head.
 const LEAST_BUFFER: usize = 8 << 10;
 
+/// Age from which a connection ends after its next answer, where callers of another region may come. They are sent here
+/// while their own hosts are away, and stay with their connections; new ones bring them back to a near host. Elsewhere
+/// connections stay, because a caller that moves to another host finds its connections to targets cold.
+const LONGEST_AGE: Duration = Duration::from_secs(3);
+
+/// Spread of that age, so that callers which came together don't return together.
+const AGE_SPREAD: f64 = 0.4;
+
 /// Opens the socket for callers.
 pub(crate) fn listen(host: &RelayHost) -> std::io::Result<TcpListener> {
     let address = host.settings.callers;
@@ -70,6 +79,8 @@
     if let Err(error) = stream.set_nodelay(true) {
         tracing::debug!(%error, "no TCP_NODELAY");
     }
+    let spread = 1.0 + host.rng().random_range(0.0..AGE_SPREAD);
+    let ends_at = host.now() + LONGEST_AGE.mul_f64(spread);
     let usage = Arc::new(ConnectionUse::default());
     usage.idle_since_us.store(micros(host.now()), Relaxed);
     let service = service_fn(|request| {
@@ -80,7 +91,8 @@
             let mut response = serve_request(Arc::clone(&host), request).await;
             usage.requests.fetch_sub(1, Relaxed);
             usage.idle_since_us.store(micros(host.now()), Relaxed);
-            if *host.phase().borrow() != HostPhase::Serving {
+            let is_old = host.has_far_callers && ends_at <= host.now();
+            if *host.phase().borrow() != HostPhase::Serving || is_old {
                 response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
             Ok::<_, Infallible>(response)
--- a/crates/relay/src/relay_host.rs
+++ b/crates/relay/src/relay_host.rs
@@ -29,6 +29,7 @@
 use crate::decision_log::DecisionLog;
 use crate::link_table::LinkTable;
 use crate::move_keeper::MoveKeeper;
+use crate::relay_server::place_of;
 use crate::wire::PlatformWire;
 
 /// Most lateness of wakes that answers are sent earlier for. Beyond it a host is overloaded, and haste does not help.
@@ -42,6 +43,8 @@
     pub wire: PlatformWire,
     /// Limits the lines about requests.
     pub log: DecisionLog,
+    /// Whether callers of another region may be sent to this host.
+    pub has_far_callers: bool,
     /// Moves of pools to another version.
     pub moves: MoveKeeper,
     /// Changes of the store for other hosts.
@@ -87,6 +90,7 @@
     ) -> (Arc<Self>, UnboundedReceiver<RequestPrint>) {
         let (crash_prints, prints) = unbounded_channel();
         let host = Self {
+            has_far_callers: place_of(&settings).has_far_callers(),
             settings,
             wire,
             log: DecisionLog::default(),
--- a/crates/relay/src/relay_server.rs
+++ b/crates/relay/src/relay_server.rs
@@ -110,7 +110,7 @@
     }
 }
 
-fn place_of(settings: &RelaySettings) -> HostPlace {
+pub(crate) fn place_of(settings: &RelaySettings) -> HostPlace {
     let regions = settings.regions.iter();
     let regions = regions.map(|(domain, region)| (domain.clone(), RegionId::from(region.as_str())));
     HostPlace { domain: settings.domain.clone(), regions: regions.collect() }
