--- a/crates/relay/src/change_log.rs
+++ b/crates/relay/src/change_log.rs
@@ -27,8 +27,8 @@
     revision: watch::Sender<StoreRevision>,
 }
 
-/// Invariants: `items` holds every change after `base`, in the order of their revisions; `keys` are those of all items
-/// that exist at the known revision.
+/// Invariants: `items` holds every change after `base`, in the order in which this host learnt of them; `keys` are those of
+/// all items that exist at the known revision.
 #[derive(Debug, Default)]
 struct KeptChanges {
     items: VecDeque<StoreItem>,
