--- a/crates/ctl/tests/explain.rs
+++ b/crates/ctl/tests/explain.rs
@@ -24,9 +24,11 @@
   29.5000 h3 {"timestamp":"2026-03-09T02:56:09.500000Z","level":"INFO","message":"request refused: no route","request_id":"r1","version":8,"path":"/x"}
 "#;
 
-/// Runs the command on scratch files, which `FIRST` and `OTHERS` stand for.
-async fn explain(words: &str) -> String {
-    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+/// Runs the command on scratch files, which `FIRST` and `OTHERS` stand for. Tests run at the same time, so each has a
+/// folder of its own, `name`.
+async fn explain(name: &str, words: &str) -> String {
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    fs::create_dir_all(&folder).expect("the scratch folder can be made");
     let (first, others) = (folder.join("h1.log"), folder.join("others.log"));
     fs::write(&first, FIRST).expect("the scratch file can be written");
     fs::write(&others, OTHERS).expect("the scratch file can be written");
@@ -47,15 +49,15 @@
 /// Guards against a story that lacks what the host believed, or takes a later belief for an earlier one.
 #[tokio::test]
 async fn a_request_is_explained_from_the_logs_of_all_hosts() {
-    assert_snapshot!(explain("explain r1 FIRST OTHERS").await);
+    assert_snapshot!(explain("story", "explain r1 FIRST OTHERS").await);
 }
 
 #[tokio::test]
 async fn a_request_without_a_line_is_refused_with_help() {
-    assert_snapshot!(explain("explain r9 FIRST OTHERS").await);
+    assert_snapshot!(explain("no-line", "explain r9 FIRST OTHERS").await);
 }
 
 #[tokio::test]
 async fn a_file_that_cannot_be_read_is_named() {
-    assert_snapshot!(explain("explain r1 absent.log").await);
+    assert_snapshot!(explain("no-file", "explain r1 absent.log").await);
 }
