Whether hosts share a watch is decided in one place

Cause, found by reading: the follower asked the number of hosts in one place and the time for a change in another. With four hosts or more and little time for a change, hosts that share nothing checked the store every 500 ms, and below 758 ms the bounds of the period crossed and the follower panicked, so that the host kept its first configuration for ever. Change: the choice of sources knows the time for a change and gives the period of checks of a shared watch, or none. It is plain code without a network; the follower asks it. Deployments with 5 s, and domains of fewer than four hosts, behave as before.

--- a/crates/dispatch/src/change_source.rs
+++ b/crates/dispatch/src/change_source.rs
@@ -17,6 +17,14 @@
 /// Fewest hosts of a failure domain that share a watch: with fewer, the calls saved are not worth the dependence.
 const FEWEST_HOSTS: usize = 4;
 
+/// Time beyond the period of checks after which a change is known to hosts that share a watch which has gone silent. If the
+/// store has left the watching host alone, that is the time-out of its check (1.5 s), its answer to the others (1 s) and a
+/// watch of their own; if only the watch is silent, the age of a stale read (2 s) and a new watch.
+const SHARED_DELAY: Duration = Duration::from_secs(3);
+
+/// Shortest period of checks: more often, they cost what a shared watch saves.
+const SHORTEST_CHECK: Duration = Duration::from_millis(500);
+
 /// Time for which a host that did not deliver is not asked again.
 const AVOIDANCE: Duration = Duration::from_secs(10);
 
@@ -37,25 +45,30 @@
 pub struct SourceChoice {
     host: HostId,
     domain: DomainId,
+    /// Time in which a change must be in force.
+    change_time: Duration,
     /// Hosts that did not deliver, with the time until which they are avoided.
     avoided: BTreeMap<HostId, Duration>,
 }
 
 impl SourceChoice {
-    /// Choice of `host` in `domain`.
-    pub fn new(host: HostId, domain: DomainId) -> Self {
-        Self { host, domain, avoided: BTreeMap::new() }
+    /// Choice of `host` in `domain`, where a change must be in force within `change_time`.
+    pub fn new(host: HostId, domain: DomainId, change_time: Duration) -> Self {
+        Self { host, domain, change_time, avoided: BTreeMap::new() }
     }
 
-    /// Whether hosts of the failure domain share a watch.
-    pub fn is_shared(&self, hosts: &BTreeMap<HostId, HostRecord>) -> bool {
-        FEWEST_HOSTS <= self.peers(hosts).count()
+    /// Period in which the watch that hosts of the failure domain share has to be checked, so that a silent one is found in
+    /// time. `None` if they share none: they are few, or changes have to be in force too soon.
+    pub fn shared_check(&self, hosts: &BTreeMap<HostId, HostRecord>) -> Option<Duration> {
+        let period = self.change_time.saturating_sub(SHARED_DELAY);
+        let is_shared = SHORTEST_CHECK <= period && FEWEST_HOSTS <= self.peers(hosts).count();
+        is_shared.then_some(period)
     }
 
     /// The source at `now`, with the live hosts that the store lists.
     pub fn choose(&mut self, hosts: &BTreeMap<HostId, HostRecord>, now: Duration) -> ChangeSource {
         self.avoided.retain(|_, until| now < *until);
-        if !self.is_shared(hosts) || MOST_AVOIDED <= self.avoided.len() {
+        if self.shared_check(hosts).is_none() || MOST_AVOIDED <= self.avoided.len() {
             return ChangeSource::Store;
         }
         let mut ranked: Vec<(u64, &HostId, SocketAddr)> = self
--- a/crates/dispatch/src/target_pick.rs
+++ b/crates/dispatch/src/target_pick.rs
@@ -92,7 +92,7 @@
 }
 
 /// Whether one more attempt of this host would have to wait at the target and miss `limit`.
-pub fn is_queue_late(target: &TargetState, context: &PickContext<'_>, limit: Duration) -> bool {
+fn is_queue_late(target: &TargetState, context: &PickContext<'_>, limit: Duration) -> bool {
     target.record.slots <= target.in_flight() && limit < expected_latency(target, context) * 2
 }
 
--- a/crates/dispatch/tests/change_source.rs
+++ b/crates/dispatch/tests/change_source.rs
@@ -21,7 +21,7 @@
 }
 
 fn choice(host: &str) -> SourceChoice {
-    SourceChoice::new(host.into(), "a".into())
+    SourceChoice::new(host.into(), "a".into(), Duration::from_secs(5))
 }
 
 /// Source of each host, one line a host.
@@ -84,3 +84,17 @@
     }
     insta::assert_snapshot!(sources(&hosts, ms(1), &[]));
 }
+
+/// Guards against a shared watch where a silent one could not be found in time, and against checks that cost more than it
+/// saves.
+#[test]
+fn hosts_share_a_watch_only_if_there_is_time_to_check_it() {
+    let period = |change_time: Duration, count: u16| {
+        SourceChoice::new("h1".into(), "a".into(), change_time).shared_check(&hosts(count))
+    };
+    let seen = [500, 3000, 3400, 3500, 5000].map(|time| period(ms(time), 5));
+    assert_eq!(seen, [None, None, None, Some(ms(500)), Some(ms(2000))]);
+    assert_eq!(period(ms(5000), 3), None);
+    let mut hasty = SourceChoice::new("h2".into(), "a".into(), ms(3000));
+    assert_eq!(hasty.choose(&hosts(5), ms(1)), ChangeSource::Store);
+}
--- a/crates/relay/src/store_follower.rs
+++ b/crates/relay/src/store_follower.rs
@@ -37,14 +37,6 @@
 /// Time for a watch to return after a check has found a newer revision.
 const CHECK_GRACE: Duration = Duration::from_millis(300);
 
-/// Time beyond the period of checks after which a change is known to hosts that share a watch which has gone silent. If the
-/// store has left the watching host alone, that is the time-out of its check (1.5 s), its answer to the others ([`PEER_WAIT`])
-/// and a watch of their own; if only the watch is silent, the age of a stale read (2 s) and a new watch.
-const SHARED_DELAY: Duration = Duration::from_secs(3);
-
-/// Shortest period of checks: more often, they cost what a shared watch saves.
-const SHORTEST_CHECK: Duration = Duration::from_millis(500);
-
 /// Pause after a change, so that changes which come together cost one watch. It doubles while changes keep coming, because each
 /// host pays for each of its watches.
 const CHANGE_PAUSE: Duration = Duration::from_millis(150);
@@ -71,8 +63,9 @@
     store: StoreClient,
     registry: StoreRegistry,
 ) {
-    let (name, domain) = (host.settings.host.as_str(), host.settings.domain.as_str());
-    let sources = SourceChoice::new(name.into(), domain.into());
+    let settings = &host.settings;
+    let (name, domain) = (settings.host.as_str().into(), settings.domain.as_str().into());
+    let sources = SourceChoice::new(name, domain, settings.change_time);
     let mut follower = StoreFollower {
         host,
         store,
@@ -158,7 +151,11 @@
         }
         let watch = self.start_watch(&source, revision);
         let mut watch = std::pin::pin!(watch);
-        let check_period = self.check_period(&source);
+        // What another host passes on is checked by that host.
+        let check_period = match source {
+            ChangeSource::Store => self.check_period(),
+            ChangeSource::Peer(..) => WATCH_WAIT,
+        };
         let mut is_suspect = false;
         let changes = loop {
             let now = self.host.now();
@@ -173,8 +170,7 @@
                     }
                 }
                 () = tokio::time::sleep(check_period) => {
-                    let checked = self.check().await;
-                    match checked {
+                    match self.check().await {
                         Ok(current) if current > revision || is_suspect => {
                             let changes = tokio::time::timeout(CHECK_GRACE, watch.as_mut()).await;
                             if let Ok(changes) = changes {
@@ -219,30 +215,21 @@
         Ok(())
     }
 
-    /// The source of the next changes. Where changes have to be in force so soon that a host which does not pass them on could
-    /// not be found in time, the store is the only one.
     fn choose_source(&mut self, now: Duration) -> ChangeSource {
-        if self.must_watch || self.is_away || self.shared_check_period() < SHORTEST_CHECK {
+        if self.must_watch || self.is_away {
             return ChangeSource::Store;
         }
         self.sources.choose(self.registry.hosts(), now)
     }
 
-    /// Period of checks of a watch that other hosts depend on.
-    fn shared_check_period(&self) -> Duration {
-        self.host.settings.change_time.saturating_sub(SHARED_DELAY)
+    /// Period of checks of the host's own watch; shorter if other hosts depend on it.
+    fn check_period(&self) -> Duration {
+        let usual = self.host.settings.change_time.mul_f64(CHECK_PART);
+        self.shared_check().map_or(usual, |period| period.min(usual))
     }
 
-    /// Period of checks while a watch waits. What another host passes on is checked by that host.
-    fn check_period(&self, source: &ChangeSource) -> Duration {
-        let usual = self.host.settings.change_time.mul_f64(CHECK_PART);
-        match source {
-            ChangeSource::Peer(..) => WATCH_WAIT,
-            ChangeSource::Store if self.sources.is_shared(self.registry.hosts()) => {
-                self.shared_check_period().clamp(SHORTEST_CHECK, usual)
-            }
-            ChangeSource::Store => usual,
-        }
+    fn shared_check(&self) -> Option<Duration> {
+        self.sources.shared_check(self.registry.hosts())
     }
 
     fn start_watch(
@@ -322,14 +309,17 @@
 
     fn longest_pause(&self) -> Duration {
         let pause = self.host.settings.change_time.mul_f64(CHANGE_PAUSE_PART);
-        let is_shared = self.sources.is_shared(self.registry.hosts());
-        if self.host.has_served() || is_shared { pause } else { pause.mul_f64(IDLE_PAUSE_FACTOR) }
+        if self.host.has_served() || self.shared_check().is_some() {
+            pause
+        } else {
+            pause.mul_f64(IDLE_PAUSE_FACTOR)
+        }
     }
 
     /// The store has answered, and is expected to answer again within the period of checks and the time-out of a call.
     fn confirm_store(&self) {
-        let period = self.check_period(&ChangeSource::Store);
-        self.host.changes.confirm_store(self.host.now() + period + STORE_TIMEOUT + CHECK_GRACE);
+        let until = self.host.now() + self.check_period() + STORE_TIMEOUT + CHECK_GRACE;
+        self.host.changes.confirm_store(until);
     }
 
     async fn check(&self) -> Result<StoreRevision, StoreFault> {
