One copy of milliseconds since 1970

The entry host, the relay's moves and the operators' commands each had the same lines; they call model::wall_clock now. No behaviour changed.

--- a/crates/ctl/src/context.rs
+++ b/crates/ctl/src/context.rs
@@ -1,9 +1,9 @@
 //! What a command takes from its surroundings.
 
 use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
 
 use vanillapick_model::table::EditId;
+use vanillapick_model::wall_clock::unix_ms;
 use vanillapick_platform::config_edit::EditPatience;
 
 /// Time and randomness of one command, as arguments so that sessions can be repeated.
@@ -32,7 +32,6 @@
 
     /// Milliseconds from 1970 to the time of the command.
     pub(crate) fn now_ms(&self) -> u64 {
-        let since = self.now.duration_since(UNIX_EPOCH).unwrap_or_default();
-        u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+        unix_ms(self.now)
     }
 }
--- a/crates/entry/src/entry_host.rs
+++ b/crates/entry/src/entry_host.rs
@@ -9,13 +9,13 @@
 use std::time::Duration;
 use std::time::Instant;
 use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
 
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use vanillapick_model::failure_domain::DomainState;
 use vanillapick_model::host::HostEntry;
 use vanillapick_model::pool::PoolRow;
+use vanillapick_model::wall_clock::unix_ms;
 use vanillapick_platform::client::PlatformClient;
 use vanillapick_policy::host_state::HostProfile;
 use vanillapick_policy::host_state::HostState;
@@ -70,7 +70,7 @@
 impl EntryHost {
     /// A host that listens on `me.address`.
     pub fn new(settings: EntrySettings, me: HostEntry, rule: LinkRule) -> Self {
-        let started_ms = wall_ms(SystemTime::now());
+        let started_ms = unix_ms(SystemTime::now());
         let profile = HostProfile {
             host: settings.host.clone(),
             domain: settings.domain.clone(),
@@ -113,7 +113,7 @@
 
     /// Wall time of this host, milliseconds since 1970.
     pub fn wall_ms(&self) -> u64 {
-        wall_ms(self.policy.wall(self.now()))
+        unix_ms(self.policy.wall(self.now()))
     }
 
     /// What the balancer's readiness check is told.
@@ -140,12 +140,6 @@
     }
 }
 
-/// Milliseconds since 1970.
-pub fn wall_ms(wall: SystemTime) -> u64 {
-    let since = wall.duration_since(UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
-}
-
 /// Locks a mutex whose data stays valid even if another holder panicked.
 pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -19,6 +19,7 @@
 use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
 use vanillapick_model::host::HostEntry;
+use vanillapick_model::wall_clock::unix_ms;
 use vanillapick_settings::entry_settings::EntrySettings;
 
 use crate::caller_api;
@@ -26,7 +27,6 @@
 use crate::entry_error::EntryError;
 use crate::entry_host::EntryHost;
 use crate::entry_host::lock;
-use crate::entry_host::wall_ms;
 use crate::host_slot::HostSlot;
 use crate::link_rule::LinkRule;
 use crate::move_keeper;
@@ -172,7 +172,7 @@
             id: settings.host.clone(),
             domain: settings.domain.clone(),
             address,
-            incarnation: wall_ms(SystemTime::now()),
+            incarnation: unix_ms(SystemTime::now()),
             leaving: false,
         };
         let host = Arc::new(EntryHost::new(settings.clone(), me, rule.clone()));
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -17,3 +17,4 @@
 pub mod crash_mark;
 pub mod hash;
 pub mod millis;
+pub mod wall_clock;
--- a/crates/relay/src/move_keeper.rs
+++ b/crates/relay/src/move_keeper.rs
@@ -11,7 +11,6 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -25,6 +24,7 @@
 use vanillapick_dispatch::version_share::RecordedState;
 use vanillapick_model::route::MoveRow;
 use vanillapick_model::route::MoveState;
+use vanillapick_model::wall_clock::unix_ms;
 use vanillapick_policy::hedge::LatencyWindow;
 use vanillapick_policy::version_move::MoveDecision;
 use vanillapick_policy::version_move::bucket_at;
@@ -280,8 +280,3 @@
 fn move_id(pool: &PoolId, order: &MoveOrder) -> String {
     format!("{pool}/{}", order.version)
 }
-
-fn unix_ms(wall: SystemTime) -> u64 {
-    let since = wall.duration_since(UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
-}
