A planned stop ends when all connections have ended

Not ruled out: that the limit on the age of connections brings more new ones in that time; the stop itself is older. Change: after the time for requests on their way no connection is accepted; the process waits until all have ended.

--- a/crates/relay/src/caller_server.rs
+++ b/crates/relay/src/caller_server.rs
@@ -51,12 +51,22 @@
     socket.listen(BACKLOG)
 }
 
-/// Accepts connections until the process ends.
+/// Accepts connections until a planned stop has come so far that callers have gone elsewhere.
 pub(crate) async fn accept_callers(host: Arc<RelayHost>, listener: TcpListener) {
+    let mut phase = host.phase();
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = phase.wait_for(|phase| *phase == HostPhase::Draining) => return,
+        };
+        match accepted {
             Ok((stream, _)) => {
-                tokio::spawn(serve_connection(Arc::clone(&host), stream));
+                let connection = host.open_connection();
+                let serving = serve_connection(Arc::clone(&host), stream);
+                tokio::spawn(async move {
+                    serving.await;
+                    drop(connection);
+                });
             }
             Err(error) => {
                 tracing::warn!(%error, "no connection could be accepted");
@@ -116,7 +126,7 @@
                 }
                 return;
             }
-            _ = phase.wait_for(|phase| *phase == HostPhase::Closing) => break,
+            _ = phase.wait_for(|phase| *phase >= HostPhase::Closing) => break,
             () = tokio::time::sleep(idle_until.saturating_sub(host.now())) => {
                 let idle_since = Duration::from_micros(usage.idle_since_us.load(Relaxed));
                 let is_idle = usage.requests.load(Relaxed) == 0;
--- a/crates/relay/src/planned_stop.rs
+++ b/crates/relay/src/planned_stop.rs
@@ -9,13 +9,13 @@
 /// Time until the balancer has noticed that the host is not ready: two of its questions, a second apart, and their way.
 const BALANCER_LAG: Duration = Duration::from_millis(2500);
 
-/// Time that idle connections stay open after that, so that requests on their way are still read.
+/// Time for which connections are accepted after that, so that requests on their way are still read.
 const CLOSE_TIME: Duration = Duration::from_millis(300);
 
 /// Time before the platform ends the process at which it ends by itself.
 const GRACE_MARGIN: Duration = Duration::from_millis(500);
 
-/// Time between two looks at the running requests.
+/// Time between two looks at the open connections.
 const DRAIN_CHECK: Duration = Duration::from_millis(20);
 
 /// Serves until callers have gone elsewhere and all requests are answered.
@@ -26,10 +26,14 @@
     tokio::time::sleep(BALANCER_LAG).await;
     host.set_phase(HostPhase::Closing);
     tokio::time::sleep(CLOSE_TIME).await;
-    while host.running() > 0 && host.now() < ends_at {
+    // No request can come between the last look and the end of the process any more. The first pause lets the task that
+    // accepts connections end; a connection ends when its answer has been written.
+    host.set_phase(HostPhase::Draining);
+    loop {
         tokio::time::sleep(DRAIN_CHECK).await;
+        if host.connections() == 0 || ends_at <= host.now() {
+            break;
+        }
     }
-    // Answers have been handed to the connection; they still have to be written.
-    tokio::time::sleep(DRAIN_CHECK).await;
     tracing::info!(running = host.running(), "host has stopped");
 }
--- a/crates/relay/src/relay_host.rs
+++ b/crates/relay/src/relay_host.rs
@@ -53,6 +53,7 @@
     started: Instant,
     phase: watch::Sender<HostPhase>,
     running: AtomicUsize,
+    connections: AtomicUsize,
     has_served: AtomicBool,
     has_store_watch: AtomicBool,
     loop_delay_us: AtomicU64,
@@ -80,6 +81,8 @@
     Leaving,
     /// Connections end after the request that runs on them.
     Closing,
+    /// No connection is accepted any more.
+    Draining,
 }
 
 impl RelayHost {
@@ -100,6 +103,7 @@
             started: Instant::now(),
             phase: watch::Sender::new(HostPhase::Serving),
             running: AtomicUsize::new(0),
+            connections: AtomicUsize::new(0),
             has_served: AtomicBool::new(false),
             has_store_watch: AtomicBool::new(false),
             loop_delay_us: AtomicU64::new(0),
@@ -167,6 +171,16 @@
         self.running.load(Relaxed)
     }
 
+    /// Connections of callers that are open.
+    pub fn connections(&self) -> usize {
+        self.connections.load(Relaxed)
+    }
+
+    pub(crate) fn open_connection(self: &Arc<Self>) -> CallerConnection {
+        self.connections.fetch_add(1, Relaxed);
+        CallerConnection(Arc::clone(self))
+    }
+
     /// Whether a request has come since the start of the process.
     pub fn has_served(&self) -> bool {
         self.has_served.load(Relaxed)
@@ -231,6 +245,15 @@
     }
 }
 
+/// A connection of a caller, counted until it is dropped.
+pub(crate) struct CallerConnection(Arc<RelayHost>);
+
+impl Drop for CallerConnection {
+    fn drop(&mut self) {
+        self.0.connections.fetch_sub(1, Relaxed);
+    }
+}
+
 /// A request that is being served, counted until it is dropped.
 pub(crate) struct RunningRequest(Arc<RelayHost>);
 
