A host that is behind the store reads on without pauses, the operators' documents first

Cause: after each page of changes a host slept 0.15 to 1.6 s, also when more pages were waiting, and a peer whose log of 1 MiB did not reach back sent a host to the store for a single page.

Change: dispatch::follow_pace decides the pause; a full page has none, and the operators' documents are read ahead of it. The log that peers read keeps the latest change of each key, so any host can catch up from a peer, with all items if removals are forgotten. An older change never replaces a newer one that was read ahead. A request without a route is refused as not run while the store is away or changes are waiting (dispatch::unknown_route).

The test of dropped changes gave way to two: superseded changes are dropped (one of six configurations stays, not two), and a host that lacks forgotten removals gets all items.

Tests that failed before: a_host_far_behind_applies_the_newest_configuration_at_once (no version 9 in 15 s), an_unknown_route_may_be_new_while_the_store_is_away.

--- a/crates/relay/src/change_log.rs
+++ b/crates/relay/src/change_log.rs
@@ -1,7 +1,7 @@
-//! Bounded log of the latest store changes, which this host serves to other hosts of its failure domain.
+//! Copy of the store's items, from which this host serves changes to other hosts of its failure domain.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::collections::VecDeque;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
@@ -15,26 +15,29 @@
 use crate::wire::StorePage;
 use crate::wire::StoreRevision;
 
-/// Size limit of the logged keys and values: several configurations of the maximum size. A host that needs earlier changes
-/// has to read them from the store.
-const MAX_LOG_BYTES: usize = 1 << 20;
+/// Number of removed keys that are remembered. A host that lacks an earlier removal receives all items instead.
+const MAX_REMOVALS: usize = 4096;
 
-/// Store changes after a base revision, with a notification of new ones.
+/// Latest version of every item of the store, with a notification of changes.
+///
+/// A change that was superseded is not kept, so the size is that of the store's items and any host can catch up from here.
 #[derive(Debug)]
 pub struct ChangeLog {
-    state: Mutex<ChangeState>,
+    state: Mutex<ItemCopy>,
     /// Revision up to which changes are known; 0 before the first list.
     revision: watch::Sender<StoreRevision>,
 }
 
-/// Invariants: `items` contains every change after `base` in the order in which this host received them; `keys` contains
-/// the keys of all items that exist at the known revision.
 #[derive(Debug, Default)]
-struct ChangeState {
-    items: VecDeque<StoreItem>,
-    bytes: usize,
+struct ItemCopy {
+    /// Latest change of each key, including removals after `base`.
+    items: BTreeMap<String, StoreItem>,
+    /// Keys of `items` by the revision of their latest change.
+    order: BTreeSet<(StoreRevision, String)>,
+    /// Number of items without a value; at most [`MAX_REMOVALS`].
+    removals: usize,
+    /// Every change after this revision is in `items` or was superseded by one that is. 0 before the first list.
     base: StoreRevision,
-    keys: BTreeSet<String>,
     /// Time until which the store counts as reachable after its last reply to this host, or to the peer that forwards
     /// changes to it. Without this limit, peers would trust a host forever whose store follower hangs.
     confirmed_until: Duration,
@@ -52,6 +55,9 @@
     pub expiry_grace_left: Duration,
     /// Whether the replying host can reach the store.
     pub has_store: bool,
+    /// Whether `page` has all items of the store, so that items it lacks were removed.
+    #[serde(default)]
+    pub is_complete: bool,
 }
 
 impl Default for ChangeLog {
@@ -61,25 +67,31 @@
 }
 
 impl ChangeLog {
-    /// Applies a list of all items at `revision`. Differences from the known items are logged as changes, so that other
-    /// hosts need not list the store themselves when its history is lost.
+    /// Applies a list of all items at `revision`. Known items that it lacks count as removed, unless they are newer.
     pub fn apply_list(&self, listed: &[StoreItem], revision: StoreRevision) {
-        let known = *self.revision.borrow();
-        let keys: BTreeSet<String> = listed.iter().map(|item| item.key.clone()).collect();
         let mut state = self.lock();
         if state.base == 0 {
             state.base = revision;
-            state.keys = keys;
-            drop(state);
-            self.revision.send_replace(revision);
-            return;
         }
-        let removed = state.keys.difference(&keys);
-        let removed = removed.map(|key| StoreItem { key: key.clone(), value: None, revision });
-        let changed = listed.iter().filter(|item| known < item.revision).cloned();
-        let changes: Vec<StoreItem> = changed.chain(removed).collect();
+        state.remove_unlisted("", listed, revision);
+        state.merge(listed);
         drop(state);
-        self.append(&changes, revision);
+        self.advance(revision);
+    }
+
+    /// Applies a list of all items whose keys begin with `prefix` at `revision`. Returns the changes that it revealed.
+    ///
+    /// The known revision stays, because changes of other keys may be missing.
+    pub fn apply_prefix(
+        &self,
+        prefix: &str,
+        listed: &[StoreItem],
+        revision: StoreRevision,
+    ) -> Vec<StoreItem> {
+        let mut state = self.lock();
+        let mut changes = state.remove_unlisted(prefix, listed, revision);
+        changes.extend(state.merge(listed));
+        changes
     }
 
     /// Records a reply of the store, which confirms until this time that the store is reachable.
@@ -87,6 +99,11 @@
         self.lock().confirmed_until = until;
     }
 
+    /// Whether the store, or a peer that reaches it, has replied recently enough at `now`.
+    pub fn has_store(&self, now: Duration) -> bool {
+        now < self.lock().confirmed_until
+    }
+
     /// Records that the store does not reply.
     pub fn mark_store_lost(&self) {
         self.confirm_store_until(Duration::ZERO);
@@ -97,30 +114,16 @@
         self.lock().expiry_grace_until = until;
     }
 
-    /// Appends all changes between the known revision and `revision`.
-    pub fn append(&self, items: &[StoreItem], revision: StoreRevision) {
-        let mut state = self.lock();
-        for item in items {
-            state.bytes += item_bytes(item);
-            state.items.push_back(item.clone());
-            if item.value.is_some() {
-                state.keys.insert(item.key.clone());
-            } else {
-                state.keys.remove(&item.key);
-            }
-        }
-        while MAX_LOG_BYTES < state.bytes
-            && let Some(oldest) = state.items.pop_front()
-        {
-            state.bytes -= item_bytes(&oldest);
-            state.base = state.base.max(oldest.revision);
-        }
-        drop(state);
-        self.revision.send_replace(revision);
+    /// Applies all changes between the known revision and `revision`; returns those that are newer than the known items.
+    pub fn append(&self, items: &[StoreItem], revision: StoreRevision) -> Vec<StoreItem> {
+        let changes = self.lock().merge(items);
+        self.advance(revision);
+        changes
     }
 
-    /// Returns the changes after a revision as soon as there are any, or an empty page after `wait`. Returns `None` if the
-    /// changes are no longer in the log. `clock` returns the time since the start of the process.
+    /// Returns the changes after a revision as soon as there are any, or an empty page after `wait`; all items if removals
+    /// after that revision are forgotten. Returns `None` before the first list. `clock` returns the time since the start of
+    /// the process.
     pub async fn changes_after(
         &self,
         after: StoreRevision,
@@ -132,22 +135,91 @@
         // A timeout and the end of the process both result in an empty page.
         let _ = tokio::time::timeout(wait, changed).await;
         let state = self.lock();
-        if after < state.base || state.base == 0 {
+        if state.base == 0 {
             return None;
         }
-        let items = state.items.iter().filter(|item| after < item.revision).cloned().collect();
+        let is_complete = after < state.base;
+        let items = if is_complete {
+            state.items.values().filter(|item| item.value.is_some()).cloned().collect()
+        } else {
+            let later = state.order.range((after + 1, String::new())..);
+            later.filter_map(|(_, key)| state.items.get(key)).cloned().collect()
+        };
         let revision = (*self.revision.borrow()).max(after);
         let page = StorePage { items, revision, has_more: false };
         let now = clock();
         let expiry_grace_left = state.expiry_grace_until.saturating_sub(now);
-        Some(PeerChanges { page, expiry_grace_left, has_store: now < state.confirmed_until })
+        let has_store = now < state.confirmed_until;
+        Some(PeerChanges { page, expiry_grace_left, has_store, is_complete })
     }
 
-    fn lock(&self) -> MutexGuard<'_, ChangeState> {
+    fn advance(&self, revision: StoreRevision) {
+        self.revision.send_if_modified(|known| {
+            let is_newer = *known < revision;
+            *known = revision.max(*known);
+            is_newer
+        });
+    }
+
+    fn lock(&self) -> MutexGuard<'_, ItemCopy> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
-fn item_bytes(item: &StoreItem) -> usize {
-    item.key.len() + item.value.as_ref().map_or(0, |value| value.len())
+impl ItemCopy {
+    /// Applies items that are newer than the known ones and returns them.
+    fn merge(&mut self, items: &[StoreItem]) -> Vec<StoreItem> {
+        let mut changes = Vec::new();
+        for item in items {
+            let known = self.items.get(&item.key);
+            if known.is_some_and(|known| item.revision <= known.revision) {
+                continue;
+            }
+            if let Some(known) = self.items.insert(item.key.clone(), item.clone()) {
+                self.order.remove(&(known.revision, known.key));
+                self.removals -= usize::from(known.value.is_none());
+            }
+            self.order.insert((item.revision, item.key.clone()));
+            self.removals += usize::from(item.value.is_none());
+            changes.push(item.clone());
+        }
+        if MAX_REMOVALS < self.removals {
+            self.forget_removals();
+        }
+        changes
+    }
+
+    /// Removes the items under `prefix` that a list at `revision` lacks and that are not newer; returns the removals.
+    fn remove_unlisted(
+        &mut self,
+        prefix: &str,
+        listed: &[StoreItem],
+        revision: StoreRevision,
+    ) -> Vec<StoreItem> {
+        let listed: BTreeSet<&str> = listed.iter().map(|item| item.key.as_str()).collect();
+        let known = self.items.range(prefix.to_owned()..);
+        let known = known.take_while(|(key, _)| key.starts_with(prefix));
+        let removals: Vec<StoreItem> = known
+            .filter(|(key, item)| {
+                item.value.is_some() && item.revision < revision && !listed.contains(key.as_str())
+            })
+            .map(|(key, _)| StoreItem { key: key.clone(), value: None, revision })
+            .collect();
+        self.merge(&removals)
+    }
+
+    /// Forgets the older half of the removals.
+    fn forget_removals(&mut self) {
+        let is_removal =
+            |key: &String| self.items.get(key).is_some_and(|item| item.value.is_none());
+        let removals = self.order.iter().filter(|(_, key)| is_removal(key));
+        let oldest: Vec<(StoreRevision, String)> =
+            removals.take(self.removals / 2).cloned().collect();
+        for (revision, key) in oldest {
+            self.items.remove(&key);
+            self.removals -= 1;
+            self.base = self.base.max(revision);
+            self.order.remove(&(revision, key));
+        }
+    }
 }
--- a/crates/relay/src/relay_host.rs
+++ b/crates/relay/src/relay_host.rs
@@ -57,6 +57,7 @@
     connections: AtomicUsize,
     has_served: AtomicBool,
     has_store_watch: AtomicBool,
+    is_behind: AtomicBool,
     loop_delay_us: AtomicU64,
     wake_lateness_us: AtomicU64,
     crashes: Mutex<CrashGuard>,
@@ -107,6 +108,7 @@
             connections: AtomicUsize::new(0),
             has_served: AtomicBool::new(false),
             has_store_watch: AtomicBool::new(false),
+            is_behind: AtomicBool::new(false),
             loop_delay_us: AtomicU64::new(0),
             wake_lateness_us: AtomicU64::new(0),
             crashes: Mutex::default(),
@@ -197,6 +199,17 @@
         self.has_store_watch.swap(has_watch, Relaxed) != has_watch
     }
 
+    /// Records whether more changes of the store are waiting than this host has read.
+    pub(crate) fn set_behind(&self, is_behind: bool) {
+        self.is_behind.store(is_behind, Relaxed);
+    }
+
+    /// Whether this host knows of no reason why its configuration could be old: the store has replied lately, and no
+    /// changes are waiting.
+    pub fn is_current(&self) -> bool {
+        !self.is_behind.load(Relaxed) && self.changes.has_store(self.now())
+    }
+
     pub(crate) fn start_request(self: &Arc<Self>) -> RunningRequest {
         self.running.fetch_add(1, Relaxed);
         self.has_served.store(true, Relaxed);
--- a/crates/relay/src/request_flow.rs
+++ b/crates/relay/src/request_flow.rs
@@ -28,6 +28,8 @@
 use vanillapick_dispatch::dispatch_plan::PlanVerdict;
 use vanillapick_dispatch::dispatch_plan::RefusalCause;
 use vanillapick_dispatch::dispatch_plan::RequestTimes;
+use vanillapick_dispatch::unknown_route::UnknownRoute;
+use vanillapick_dispatch::unknown_route::refuse_unknown_route;
 
 use crate::caller_response::ResponseBody;
 use crate::caller_response::forwarded_response;
@@ -97,18 +99,7 @@
         return not_run_response(&wire, NO_CONFIG_RETRY_AFTER, "no configuration yet\n");
     };
     let Some(route) = find_route(&view, &parts) else {
-        count_refusal("no_route");
-        if host.log_limiter.allows(arrived) {
-            let request_id = request_id_str(&head);
-            let version = view.serving.version;
-            tracing::info!(
-                request_id,
-                version,
-                path = parts.uri.path(),
-                "request refused: no route"
-            );
-        }
-        return local_response(StatusCode::NOT_FOUND, "no route\n");
+        return refuse_without_route(&host, &view, &head, parts.uri.path());
     };
     if let Err(refusal) = admit(route.priority, host.loop_delay()) {
         count_refusal("overloaded");
@@ -169,6 +160,33 @@
     flow.run(running).await
 }
 
+fn refuse_without_route(
+    host: &RelayHost,
+    view: &RelayView,
+    head: &CallerRequestHead,
+    path: &str,
+) -> Response<ResponseBody> {
+    let refusal = refuse_unknown_route(host.is_current());
+    let is_absent = refusal == UnknownRoute::Absent;
+    count_refusal(if is_absent { "no_route" } else { "maybe_new_route" });
+    if host.log_limiter.allows(host.now()) {
+        tracing::info!(
+            request_id = request_id_str(head),
+            version = view.serving.version,
+            is_current = is_absent,
+            path,
+            "request refused: no route"
+        );
+    }
+    match refusal {
+        UnknownRoute::Absent => local_response(StatusCode::NOT_FOUND, "no route\n"),
+        UnknownRoute::MaybeNew(retry_after) => {
+            let text = "the configuration may be old\n";
+            not_run_response(&host.wire.caller, retry_after, text)
+        }
+    }
+}
+
 /// Returns the fingerprint of the request if such requests are known to crash targets.
 fn refused_fingerprint(
     host: &RelayHost,
--- a/crates/relay/src/store_follower.rs
+++ b/crates/relay/src/store_follower.rs
@@ -9,6 +9,8 @@
 use hyper::StatusCode;
 use vanillapick_dispatch::change_source::ChangeSource;
 use vanillapick_dispatch::change_source::ChangeSourceSelector;
+use vanillapick_dispatch::follow_pace::FollowPace;
+use vanillapick_dispatch::follow_pace::FollowStep;
 use vanillapick_dispatch::host_record::HostId;
 use vanillapick_dispatch::registry::StoreChange;
 use vanillapick_dispatch::registry::StoreRegistry;
@@ -38,26 +40,22 @@
 /// Time in which a watch must return after a check has found a newer revision.
 const WATCH_RETURN_GRACE: Duration = Duration::from_millis(300);
 
-/// Minimum delay before the next watch after a change, so that changes in quick succession need only one watch. It doubles
-/// while changes keep coming, because every watch of every host is charged for.
-const MIN_CHANGE_DELAY: Duration = Duration::from_millis(150);
-
-/// Maximum of that delay, as a fraction of the time within which a change must take effect.
+/// Maximum delay before the next watch after a change, as a fraction of the time within which a change must take effect.
 const MAX_CHANGE_DELAY_FRACTION: f64 = 0.27;
 
 /// Factor on the maximum delay until the host has served a request, unless other hosts depend on its watch. When a
 /// whole system starts, targets register one after the other, and no request depends on them yet.
 const IDLE_CHANGE_DELAY_FACTOR: f64 = 2.0;
 
-/// A watch that waited longer than this ends a burst of changes and resets the delay.
-const CHANGE_BURST_GAP: Duration = Duration::from_millis(500);
-
 /// Delay after the first failed call; it doubles up to [`MAX_RETRY_DELAY`].
 const INITIAL_RETRY_DELAY: Duration = Duration::from_millis(100);
 
 /// Maximum delay between calls while the store is unreachable.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(800);
 
+/// Continues with the next watch without a delay.
+const WATCH_NOW: FollowStep = FollowStep::Watch(Duration::ZERO);
+
 /// Lists and watches the store until the process ends.
 pub(crate) async fn follow_store(
     host: Arc<RelayHost>,
@@ -74,7 +72,7 @@
         revision: None,
         is_store_lost: false,
         retry_delay: INITIAL_RETRY_DELAY,
-        change_delay: MIN_CHANGE_DELAY,
+        pace: FollowPace::default(),
         sources,
         requires_store: false,
     };
@@ -84,7 +82,7 @@
             Some(revision) => follower.watch(revision).await,
         };
         match step {
-            Ok(()) => follower.on_success(),
+            Ok(step) => follower.on_success(step).await,
             Err(error) => follower.on_error(&error).await,
         }
     }
@@ -98,16 +96,15 @@
     revision: Option<StoreRevision>,
     is_store_lost: bool,
     retry_delay: Duration,
-    change_delay: Duration,
+    pace: FollowPace,
     sources: ChangeSourceSelector,
     /// The next changes must be read from the store, because peers no longer have them in their logs.
     requires_store: bool,
 }
 
 impl StoreFollower {
-    async fn list(&mut self) -> Result<(), StoreError> {
+    async fn list(&mut self) -> Result<FollowStep, StoreError> {
         let wire = self.host.wire.store;
-        let mut changes = Vec::new();
         let mut items = Vec::new();
         let mut first_revision = None;
         let mut after: Option<String> = None;
@@ -117,37 +114,54 @@
             // The pages are not one snapshot, so the watch starts at the revision of the first page.
             let revision = *first_revision.get_or_insert(page.revision);
             after = page.items.last().map(|item| item.key.clone());
-            changes.extend(page.items.iter().filter_map(|item| self.read_change(item)));
             items.extend(page.items);
             if !page.has_more || after.is_none() {
-                let now = self.host.now();
-                self.on_store_reply(now);
+                self.on_store_reply(self.host.now());
                 self.confirm_store();
-                let count = changes.len();
-                self.host.crashes().replace_marked(changes.iter().filter_map(
-                    |change| match change {
-                        StoreChange::CrashMark(fingerprint, true) => Some(*fingerprint),
-                        _ => None,
-                    },
-                ));
-                let (evidence, changes): (Vec<_>, Vec<_>) = changes
-                    .into_iter()
-                    .partition(|change| matches!(change, StoreChange::MoveEvidence(..)));
-                self.registry.apply_list(changes, now);
-                self.set_moves();
-                evidence.into_iter().for_each(|change| {
-                    self.apply(change, now);
-                });
-                self.revision = Some(revision);
-                tracing::info!(revision, facts = count, "store listed");
-                self.install();
-                self.host.changes.apply_list(&items, revision);
-                return Ok(());
+                tracing::info!(revision, items = items.len(), "store listed");
+                self.apply_complete(&items, revision);
+                return Ok(WATCH_NOW);
             }
         }
     }
 
-    async fn watch(&mut self, revision: StoreRevision) -> Result<(), StoreError> {
+    /// Replaces all known items by a complete list at `revision`.
+    fn apply_complete(&mut self, items: &[StoreItem], revision: StoreRevision) {
+        let now = self.host.now();
+        let changes: Vec<StoreChange> =
+            items.iter().filter_map(|item| self.read_change(item)).collect();
+        self.host.crashes().replace_marked(changes.iter().filter_map(|change| match change {
+            StoreChange::CrashMark(fingerprint, true) => Some(*fingerprint),
+            _ => None,
+        }));
+        let (evidence, changes): (Vec<_>, Vec<_>) =
+            changes.into_iter().partition(|change| matches!(change, StoreChange::MoveEvidence(..)));
+        self.registry.apply_list(changes, now);
+        self.set_moves();
+        evidence.into_iter().for_each(|change| {
+            self.apply(change, now);
+        });
+        self.revision = Some(revision);
+        self.install();
+        self.host.changes.apply_list(items, revision);
+    }
+
+    /// Reads the operators' documents ahead of other changes, so that a host that is far behind does not serve by an old
+    /// configuration until it has read everything else.
+    async fn read_orders(&mut self) -> Result<(), StoreError> {
+        let wire = self.host.wire.store;
+        let page = self.store.read((wire.list_orders)(), Duration::ZERO, wire.read_list).await?;
+        if page.has_more {
+            // Without all documents, a removal cannot be told from a document on the next page.
+            return Ok(());
+        }
+        let changes =
+            self.host.changes.apply_prefix(wire.orders_prefix, &page.items, page.revision);
+        self.apply_items(&changes);
+        Ok(())
+    }
+
+    async fn watch(&mut self, revision: StoreRevision) -> Result<FollowStep, StoreError> {
         let asked = self.host.now();
         let source = self.choose_source(asked);
         if self.host.set_store_watch(source == ChangeSource::Store) {
@@ -181,7 +195,7 @@
                                 break changes;
                             }
                             tracing::info!(revision, current, is_suspect, "watch is silent; restarting it");
-                            return Ok(());
+                            return Ok(WATCH_NOW);
                         }
                         Ok(_) => self.confirm_store(),
                         Err(error) => {
@@ -194,14 +208,15 @@
             }
         };
         if let ChangeSource::Peer(peer, _) = source {
-            return self.apply_peer_changes(peer, changes, revision).await;
+            self.apply_peer_changes(peer, changes, revision).await;
+            return Ok(WATCH_NOW);
         }
         let page = match changes {
             Ok(changes) => changes.page,
             Err(error) if error.has_status(StatusCode::GONE) => {
                 tracing::info!(revision, "history of the store is lost; listing all items again");
                 self.revision = None;
-                return Ok(());
+                return Ok(WATCH_NOW);
             }
             Err(error) => return Err(error),
         };
@@ -209,14 +224,11 @@
         self.confirm_store();
         self.requires_store = false;
         self.apply_changes(&page, revision);
-        let now = self.host.now();
-        if !page.items.is_empty() {
-            let is_burst = now.saturating_sub(asked) < CHANGE_BURST_GAP;
-            let next = (self.change_delay * 2).min(self.max_change_delay());
-            self.change_delay = if is_burst { next } else { MIN_CHANGE_DELAY };
-            tokio::time::sleep(self.change_delay).await;
-        }
-        Ok(())
+        let (now, max_delay) = (self.host.now(), self.max_change_delay());
+        let step =
+            self.pace.after_page(page.items.len(), now.saturating_sub(asked), max_delay, now);
+        self.host.set_behind(self.pace.is_behind());
+        Ok(step)
     }
 
     fn choose_source(&mut self, now: Duration) -> ChangeSource {
@@ -247,7 +259,12 @@
                 let (store, call) = (self.store.clone(), (wire.watch)(revision, WATCH_WAIT));
                 Box::pin(async move {
                     let page = store.read(call, WATCH_WAIT, wire.read_watch).await?;
-                    Ok(PeerChanges { page, expiry_grace_left: Duration::ZERO, has_store: true })
+                    Ok(PeerChanges {
+                        page,
+                        expiry_grace_left: Duration::ZERO,
+                        has_store: true,
+                        is_complete: false,
+                    })
                 })
             }
             ChangeSource::Peer(_, address) => {
@@ -258,21 +275,27 @@
         }
     }
 
-    /// Applies the reply of a peer. A peer that failed is avoided for a while. If its log no longer reaches back far
-    /// enough, the next watch goes to the store.
+    /// Applies the reply of a peer. A peer that failed is avoided for a while. If it has not listed the store yet, the next
+    /// watch goes to the store.
     async fn apply_peer_changes(
         &mut self,
         peer: HostId,
         changes: Result<PeerChanges, StoreError>,
         revision: StoreRevision,
-    ) -> Result<(), StoreError> {
+    ) {
         let now = self.host.now();
         match changes {
             Ok(changes) => {
                 let expiry_grace_until = now + changes.expiry_grace_left;
                 self.registry.extend_expiry_grace(expiry_grace_until);
                 self.host.changes.set_expiry_grace_until(expiry_grace_until);
-                self.apply_changes(&changes.page, revision);
+                if changes.is_complete {
+                    tracing::info!(peer = &*peer, revision, "all items taken over from a host");
+                    self.apply_complete(&changes.page.items, changes.page.revision);
+                } else {
+                    self.apply_changes(&changes.page, revision);
+                }
+                self.host.set_behind(false);
                 if changes.has_store {
                     self.host.changes.confirm_store_until(now + PEER_WAIT + PEER_TIMEOUT);
                 } else if self.check().await.is_ok() {
@@ -285,7 +308,7 @@
                 }
             }
             Err(error) if error.has_status(StatusCode::GONE) => {
-                tracing::info!(peer = &*peer, revision, "host no longer keeps these changes");
+                tracing::info!(peer = &*peer, revision, "host has not listed the store yet");
                 self.requires_store = true;
             }
             Err(error) => {
@@ -293,23 +316,27 @@
                 self.sources.record_failure(peer, now);
             }
         }
-        Ok(())
     }
 
     fn apply_changes(&mut self, page: &StorePage, revision: StoreRevision) {
+        let revision = page.revision.max(revision);
+        self.revision = Some(revision);
+        let changes = self.host.changes.append(&page.items, revision);
+        self.apply_items(&changes);
+    }
+
+    /// Applies items that are newer than the known ones.
+    fn apply_items(&mut self, items: &[StoreItem]) {
         let now = self.host.now();
         let mut is_changed = self.registry.expire(now);
-        for item in &page.items {
+        for item in items {
             if let Some(change) = self.read_change(item) {
                 is_changed |= self.apply(change, now);
             }
         }
-        let revision = page.revision.max(revision);
-        self.revision = Some(revision);
         if is_changed {
             self.install();
         }
-        self.host.changes.append(&page.items, revision);
     }
 
     fn max_change_delay(&self) -> Duration {
@@ -383,12 +410,22 @@
         }
     }
 
-    fn on_success(&mut self) {
-        if self.is_store_lost {
+    async fn on_success(&mut self, step: FollowStep) {
+        let is_regained = std::mem::take(&mut self.is_store_lost);
+        if is_regained {
             tracing::info!("store regained");
         }
-        self.is_store_lost = false;
         self.retry_delay = INITIAL_RETRY_DELAY;
+        let step = if is_regained { FollowStep::ReadOrders } else { step };
+        match step {
+            FollowStep::Watch(delay) => tokio::time::sleep(delay).await,
+            FollowStep::ReadOrders => {
+                if let Err(error) = self.read_orders().await {
+                    // The documents also arrive with the other changes.
+                    tracing::info!(fault = %error, "operators' documents were not read ahead");
+                }
+            }
+        }
     }
 
     async fn on_error(&mut self, error: &StoreError) {
--- a/crates/relay/src/wire.rs
+++ b/crates/relay/src/wire.rs
@@ -97,6 +97,10 @@
     pub list: fn(Option<&str>) -> StoreCall,
     /// Decodes a page of a list.
     pub read_list: fn(&[u8]) -> Result<StorePage, String>,
+    /// Lists the operators' documents alone.
+    pub list_orders: fn() -> StoreCall,
+    /// Prefix of the keys that `list_orders` returns.
+    pub orders_prefix: &'static str,
     /// Waits for changes after a revision.
     pub watch: fn(StoreRevision, Duration) -> StoreCall,
     /// Decodes the changes that a watch returned.
