A call to a target is written when it is sent, and not after its request was answered

Cause: the head of a call, with the time that is left, was written before the call waited for a connection, and a call that waited was sent even when its request had been answered meanwhile.

Change: TargetConnections::call takes a function that builds the request once a connection is open, and that returns none if the request is over; such an attempt ends as withdrawn and is not repeated.

Tests that failed before: a_call_that_waits_for_a_connection_carries_the_time_that_is_left (told 1499 ms of 1500 after 400 ms), a_call_still_waiting_for_a_connection_is_not_sent_after_the_answer.

--- a/crates/dispatch/src/attempt.rs
+++ b/crates/dispatch/src/attempt.rs
@@ -69,6 +69,8 @@
     Unreachable,
     /// The reused connection was closed before the request was written.
     Unsent,
+    /// The request was over before the attempt could be sent.
+    Withdrawn,
 }
 
 impl NotRunCause {
@@ -84,6 +86,7 @@
             Self::Misdirected => "misdirected",
             Self::Unreachable => "unreachable",
             Self::Unsent => "unsent",
+            Self::Withdrawn => "withdrawn",
         }
     }
 }
--- a/crates/dispatch/src/dispatch_plan.rs
+++ b/crates/dispatch/src/dispatch_plan.rs
@@ -457,6 +457,9 @@
         now: Duration,
         rng: &mut impl Rng,
     ) -> Option<SendCommand> {
+        if cause == NotRunCause::Withdrawn {
+            return None;
+        }
         // An attempt that did not reach its target is replaced without using the retry budget.
         if cause.has_reached_target() {
             return self.retry(shard, SendCause::NotRun, now, rng);
--- a/crates/dispatch/src/target_state.rs
+++ b/crates/dispatch/src/target_state.rs
@@ -156,7 +156,7 @@
             AttemptOutcome::Failed => self.last_progress_us.store(micros(now), Relaxed),
             AttemptOutcome::NotRun(NotRunCause::Shed) => self.back_off(SHED_BACKOFF, now),
             AttemptOutcome::NotRun(NotRunCause::Misdirected) => self.back_off(MAX_BACKOFF, now),
-            AttemptOutcome::NotRun(NotRunCause::Unsent) => return,
+            AttemptOutcome::NotRun(NotRunCause::Unsent | NotRunCause::Withdrawn) => return,
             AttemptOutcome::Lost | AttemptOutcome::NotRun(NotRunCause::Unreachable) => {
                 let losses = self.consecutive_losses.fetch_add(1, Relaxed).min(8);
                 self.back_off((MIN_BACKOFF * (1 << losses)).min(MAX_BACKOFF), now);
--- a/crates/relay/src/kept_connection.rs
+++ b/crates/relay/src/kept_connection.rs
@@ -44,7 +44,7 @@
 #[derive(Debug)]
 pub(crate) enum ExchangeError {
     /// The request was not written, so it can be sent again.
-    Unsent(Box<Request<CallBody>>),
+    Unsent,
     /// The request may have reached the target.
     Lost(String),
 }
@@ -85,7 +85,7 @@
         })
         .await;
         if !is_ready {
-            return Err(ExchangeError::Unsent(Box::new(request)));
+            return Err(ExchangeError::Unsent);
         }
         let mut reply = Box::pin(self.sender.try_send_request(request));
         let (driver, is_closed) = (&mut self.driver, &mut self.is_closed);
@@ -105,7 +105,7 @@
                 Ok((parts, body))
             }
             Some(Err(mut error)) => match error.take_message() {
-                Some(request) => Err(ExchangeError::Unsent(Box::new(request))),
+                Some(_) => Err(ExchangeError::Unsent),
                 None => Err(ExchangeError::Lost(error.into_error().to_string())),
             },
             None => Err(ExchangeError::Lost("the connection closed before the reply".to_owned())),
--- a/crates/relay/src/request_flow.rs
+++ b/crates/relay/src/request_flow.rs
@@ -1,6 +1,8 @@
 //! Handles one request of a caller: routing, admission, attempts at targets and the response.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering::Relaxed;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -250,6 +252,7 @@
             body,
             request_id: head.request_id,
             deadline: times.arrived + timeout.min(route.timeout),
+            is_answered: AtomicBool::new(false),
         };
         Self {
             request: Arc::new(request),
@@ -415,6 +418,7 @@
             return;
         }
         plan.close();
+        request.is_answered.store(true, Relaxed);
         tokio::spawn(async move {
             let host = &request.host;
             let rest = async {
--- a/crates/relay/src/target_attempt.rs
+++ b/crates/relay/src/target_attempt.rs
@@ -1,6 +1,8 @@
 //! Runs one attempt of a request at one target.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering::Relaxed;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -35,6 +37,8 @@
     pub(crate) request_id: HeaderValue,
     /// End of the caller's timeout, as time since the start of the process.
     pub(crate) deadline: Duration,
+    /// Whether the caller has its response, so that attempts which still wait for a connection are not sent.
+    pub(crate) is_answered: AtomicBool,
 }
 
 /// HTTP response of a target with its parsed stamp.
@@ -80,13 +84,14 @@
         let detail = Some("the target is not in the connection table".to_owned());
         return ended(AttemptOutcome::NotRun(NotRunCause::Unreachable), None, detail);
     };
-    let reply = connections.call(request.call(&target), || host.now()).await;
+    let reply = connections.call(|| request.call(&target), || host.now()).await;
     let (parts, body) = match reply {
         Ok(reply) => reply,
         Err(error) => {
             let outcome = match error {
                 CallError::Unreachable { .. } => AttemptOutcome::NotRun(NotRunCause::Unreachable),
                 CallError::Lost { .. } => AttemptOutcome::Lost,
+                CallError::Withdrawn => AttemptOutcome::NotRun(NotRunCause::Withdrawn),
             };
             return ended(outcome, None, Some(error.to_string()));
         }
@@ -107,16 +112,20 @@
 }
 
 impl ForwardedRequest {
-    fn call(&self, target: &TargetState) -> Request<Full<Bytes>> {
+    /// Builds the call to a target at the moment at which it is sent; `None` if the request is over by then.
+    fn call(&self, target: &TargetState) -> Option<Request<Full<Bytes>>> {
+        let remaining = self.deadline.saturating_sub(self.host.now());
+        if remaining.is_zero() || self.is_answered.load(Relaxed) {
+            return None;
+        }
         let mut call = Request::new(Full::new(self.body.clone()));
         *call.method_mut() = self.method.clone();
         *call.uri_mut() = self.uri.clone();
         let headers = call.headers_mut();
         *headers = self.headers.clone();
-        let remaining = self.deadline.saturating_sub(self.host.now());
         let head =
             TargetCallHead { request_id: &self.request_id, remaining, target: &target.record.id };
         (self.host.wire.target.write_head)(headers, &head);
-        call
+        Some(call)
     }
 }
--- a/crates/relay/src/target_connections.rs
+++ b/crates/relay/src/target_connections.rs
@@ -59,6 +59,9 @@
         /// Message of the network layer.
         detail: String,
     },
+    /// The request was over before a connection was available, so it was not sent.
+    #[display("the request was over before it could be sent")]
+    Withdrawn,
 }
 
 impl std::fmt::Debug for KeptConnection {
@@ -107,9 +110,12 @@
 
     /// Sends a request and reads the complete reply. Dropping the future closes the connection, which cancels the request
     /// at the target.
+    ///
+    /// `write` builds the request once a connection is open, because waiting for one takes part of the time that the target
+    /// is told; it returns `None` if the request is no longer wanted.
     pub async fn call(
         &self,
-        mut request: Request<CallBody>,
+        write: impl Fn() -> Option<Request<CallBody>>,
         now: impl Fn() -> Duration,
     ) -> Result<(Parts, Bytes), CallError> {
         let Ok(_permit) = self.permits.acquire().await else {
@@ -124,13 +130,17 @@
                 Some(connection) => connection,
                 None => self.open(now()).await?,
             };
+            let Some(request) = write() else {
+                self.put_idle(connection, &HeaderMap::new(), now()).await;
+                return Err(CallError::Withdrawn);
+            };
             match connection.exchange(request).await {
                 Ok((parts, body)) => {
                     self.put_idle(connection, &parts.headers, now()).await;
                     return Ok((parts, body));
                 }
-                Err(ExchangeError::Unsent(unsent)) if !is_new => request = *unsent,
-                Err(ExchangeError::Unsent(_)) => {
+                Err(ExchangeError::Unsent) if !is_new => {}
+                Err(ExchangeError::Unsent) => {
                     return Err(CallError::Unreachable {
                         detail: "the target closed a new connection before the request was sent"
                             .to_owned(),
