Searches over many shards are gathered by hosts of the failure domain side by side

Change: dispatch::shard_groups divides searches over 60 shards or more into groups of about 30; three owners of each group are chosen by hash, so that a host keeps its connections to the targets of few shards. The host of the caller asks an owner (POST /parts, MessagePack), which sends, hedges and retries, and returns stamps and the greatest records in messages. A message precedes every second attempt of a shard. So a group whose owner is silent can be sent by the host of the caller without exceeding the attempts of the route. An owner with another configuration, one that leaves or is late refuses, and the next one is asked. Hosts with fewer than 6 others in their failure domain send everything themselves, as before.

--- a/crates/dispatch/src/dispatch_plan.rs
+++ b/crates/dispatch/src/dispatch_plan.rs
@@ -1,5 +1,6 @@
 //! State machine of one request: first attempts, hedges, retries and the decision when to respond.
 
+use std::ops::Range;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,6 +11,7 @@
 use crate::attempt::NotRunCause;
 use crate::attempt::SendCause;
 use crate::attempt::SendCommand;
+use crate::config_document::PoolId;
 use crate::config_document::RepeatRule;
 use crate::config_document::RouteContract;
 use crate::config_document::RoutePools;
@@ -111,6 +113,8 @@
     shards: Vec<ShardState>,
     attempts: Vec<AttemptState>,
     min_shards: usize,
+    /// Number of shards that may be left out from the start because their targets are overloaded.
+    skippable_shards: usize,
     /// Random number from 0 to 1 that selects the version of a moving pool for all attempts of the request; set to
     /// [`OLD_VERSION_DRAW`] after a failed or lost attempt.
     version_draw: f64,
@@ -122,14 +126,23 @@
     pool: Option<Arc<PoolView>>,
     sends: usize,
     in_flight: usize,
-    /// Number of attempts that were or may have been executed.
+    /// Number of attempts that were or may have been executed, including one for a shard that another host gathers.
     executions: u32,
+    gathering: RemoteGathering,
     answer: Option<AttemptNumber>,
     failure: Option<AttemptNumber>,
     /// When to hedge the latest attempt, or to retry a request that was not executed.
     wake: Option<Duration>,
 }
 
+/// Whether another host gathers the part of a shard.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum RemoteGathering {
+    None,
+    Waiting,
+    Answered,
+}
+
 #[derive(Debug)]
 struct AttemptState {
     shard: usize,
@@ -167,6 +180,35 @@
             }
             RoutePools::Sharded(sharded) => (sharded.pools.clone(), sharded.min_shards()),
         };
+        let skippable = pools.len() - min_shards.min(pools.len());
+        Self::with_shards(route, view, times, &pools, min_shards, skippable, rng)
+    }
+
+    /// Plan of the shards in `range`, which another host asks for. It tells how many shards may be left out, and no minimum
+    /// applies here: the other host decides with the parts of all groups.
+    pub fn for_group(
+        route: &Arc<RouteContract>,
+        view: &Arc<ServingView>,
+        times: RequestTimes,
+        range: Range<usize>,
+        rng: &mut impl Rng,
+    ) -> Option<Self> {
+        let RoutePools::Sharded(sharded) = &route.pools else { return None };
+        let pools = sharded.pools.get(range)?;
+        let spare = sharded.pools.len() - sharded.min_shards().min(sharded.pools.len());
+        let skippable = spare * pools.len() / sharded.pools.len().max(1);
+        Some(Self::with_shards(route, view, times, pools, 0, skippable, rng))
+    }
+
+    fn with_shards(
+        route: &Arc<RouteContract>,
+        view: &Arc<ServingView>,
+        times: RequestTimes,
+        pools: &[PoolId],
+        min_shards: usize,
+        skippable_shards: usize,
+        rng: &mut impl Rng,
+    ) -> Self {
         let shards =
             pools.iter().map(|pool| ShardState::new(view.pools.get(pool).cloned())).collect();
         let route_state = view.routes.get(&route.id).cloned().unwrap_or_default();
@@ -178,27 +220,103 @@
             shards,
             attempts: Vec::new(),
             min_shards,
+            skippable_shards,
             version_draw: rng.random(),
             is_closed: false,
         }
     }
 
-    /// First attempts of all shards; none if too few shards have a target to meet the minimum of the route.
-    pub fn start(&mut self, now: Duration, rng: &mut impl Rng) -> Vec<SendCommand> {
+    /// First attempts of all shards but those that other hosts gather; none if too few shards have a target to meet the
+    /// minimum of the route.
+    ///
+    /// Shards in `groups` wait for [`Self::on_gathered`] if [`Self::is_gathered`] says so afterwards.
+    pub fn start(
+        &mut self,
+        groups: &[Range<usize>],
+        now: Duration,
+        rng: &mut impl Rng,
+    ) -> Vec<SendCommand> {
         let served = self.shards.iter().filter(|shard| self.has_target(shard)).count();
         if served < self.min_shards {
             return Vec::new();
         }
-        for shard in &self.shards {
-            if let Some(pool) = &shard.pool {
+        for shard in groups.iter().flat_map(Clone::clone) {
+            let state = &mut self.shards[shard];
+            state.gathering = RemoteGathering::Waiting;
+            state.sends = 1;
+            state.executions = 1;
+        }
+        let own: Vec<usize> =
+            (0..self.shards.len()).filter(|shard| !self.is_gathered(*shard)).collect();
+        self.send_first(&own, now, rng)
+    }
+
+    /// Whether the shard waits for the host that gathers it.
+    pub fn is_gathered(&self, shard: usize) -> bool {
+        self.shards[shard].gathering == RemoteGathering::Waiting
+    }
+
+    /// Handles the part of a shard that another host has gathered. Returns whether the part counts.
+    pub fn on_gathered(&mut self, shard: usize) -> bool {
+        let Some(state) = self.shards.get_mut(shard) else { return false };
+        if state.gathering != RemoteGathering::Waiting {
+            return false;
+        }
+        state.gathering = RemoteGathering::Answered;
+        true
+    }
+
+    /// Gives up the shards in `range` whose host has failed to gather them and may have used all attempts.
+    pub fn abandon_gathered(&mut self, range: Range<usize>) {
+        for state in &mut self.shards[range] {
+            if state.gathering == RemoteGathering::Waiting {
+                state.gathering = RemoteGathering::None;
+            }
+        }
+    }
+
+    /// Sends the shards in `range` from this host, because the host that should gather them has failed. If it may have sent
+    /// them, it has used at most one attempt of each.
+    pub fn take_back(
+        &mut self,
+        range: Range<usize>,
+        may_have_run: bool,
+        now: Duration,
+        rng: &mut impl Rng,
+    ) -> Vec<SendCommand> {
+        let waiting: Vec<usize> = range.filter(|shard| self.is_gathered(*shard)).collect();
+        for shard in &waiting {
+            let state = &mut self.shards[*shard];
+            state.gathering = RemoteGathering::None;
+            if !may_have_run {
+                state.sends = 0;
+                state.executions = 0;
+            }
+        }
+        if !may_have_run {
+            return self.send_first(&waiting, now, rng);
+        }
+        let retries = waiting.into_iter();
+        retries.filter_map(|shard| self.retry(shard, SendCause::Failure, now, rng)).collect()
+    }
+
+    fn send_first(
+        &mut self,
+        shards: &[usize],
+        now: Duration,
+        rng: &mut impl Rng,
+    ) -> Vec<SendCommand> {
+        if shards.is_empty() {
+            return Vec::new();
+        }
+        for shard in shards {
+            if let Some(pool) = &self.shards[*shard].pool {
                 pool.state.retry_budget.record_request(&self.view.retry_limits, now);
             }
         }
         let skipped = self.overloaded_shards(now);
-        (0..self.shards.len())
-            .filter(|shard| !skipped.contains(shard))
-            .filter_map(|shard| self.send(shard, SendCause::First, now, rng))
-            .collect()
+        let sent = shards.iter().filter(|shard| !skipped.contains(shard));
+        sent.filter_map(|shard| self.send(*shard, SendCause::First, now, rng)).collect()
     }
 
     /// Handles the outcome of an attempt; returns the retry that it causes, if any.
@@ -299,7 +417,7 @@
     /// worth less to the caller than a partial one that states how many shards are missing. Below the minimum it
     /// continues until enough shards have answered or the deadline has passed.
     pub fn verdict(&self, now: Duration) -> Option<PlanVerdict> {
-        let answered = self.shards.iter().filter(|shard| shard.answer.is_some()).count();
+        let answered = self.answered_count();
         let open = self.shards.iter().filter(|shard| shard.is_open()).count();
         let may_answer_partially = self.times.soft_deadline <= now && self.min_shards <= answered;
         let is_past_deadline = self.times.deadline <= now;
@@ -333,6 +451,16 @@
         &self.attempts[attempt].target
     }
 
+    /// Shard that an attempt was made for.
+    pub fn shard(&self, attempt: AttemptNumber) -> usize {
+        self.attempts[attempt].shard
+    }
+
+    /// Whether the reply to an attempt is the one that counts for its shard.
+    pub fn is_answer(&self, attempt: AttemptNumber) -> bool {
+        self.shards[self.attempts[attempt].shard].answer == Some(attempt)
+    }
+
     /// When an attempt was sent, since the start of the process.
     pub fn sent_at(&self, attempt: AttemptNumber) -> Duration {
         self.attempts[attempt].sent
@@ -374,7 +502,18 @@
 
     /// Number of shards that have answered so far.
     pub fn answered_count(&self) -> usize {
-        self.shards.iter().filter(|shard| shard.answer.is_some()).count()
+        self.shards.iter().filter(|shard| shard.is_answered()).count()
+    }
+
+    /// Number of shards that may still be answered.
+    pub fn open_count(&self) -> usize {
+        self.shards.iter().filter(|shard| shard.is_open()).count()
+    }
+
+    /// Whether all attempts of the shard are over without an answer.
+    pub fn has_failed(&self, shard: usize) -> bool {
+        let state = &self.shards[shard];
+        !state.is_answered() && !state.is_open()
     }
 
     fn failure(&self, is_past_deadline: bool) -> PlanVerdict {
@@ -406,7 +545,7 @@
     /// If the targets of a shard are offered more load than they can serve, their queues stay full and every request is
     /// answered late. Skipping the shard for some requests lets the remaining ones be answered in time.
     fn overloaded_shards(&self, now: Duration) -> Vec<usize> {
-        let spare = self.shards.len() - self.min_shards;
+        let spare = self.skippable_shards;
         if spare == 0 {
             return Vec::new();
         }
@@ -605,14 +744,21 @@
             sends: 0,
             in_flight: 0,
             executions: 0,
+            gathering: RemoteGathering::None,
             answer: None,
             failure: None,
             wake: None,
         }
     }
 
+    fn is_answered(&self) -> bool {
+        self.answer.is_some() || self.gathering == RemoteGathering::Answered
+    }
+
     /// Whether an answer may still arrive.
     fn is_open(&self) -> bool {
-        self.answer.is_none() && (self.in_flight > 0 || self.wake.is_some())
+        let is_waiting =
+            self.in_flight > 0 || self.wake.is_some() || self.gathering == RemoteGathering::Waiting;
+        !self.is_answered() && is_waiting
     }
 }
--- a/crates/dispatch/src/host_record.rs
+++ b/crates/dispatch/src/host_record.rs
@@ -15,4 +15,6 @@
     pub domain: Option<DomainId>,
     /// Address at which the host serves store changes to other hosts of its failure domain; `None` if it serves none.
     pub peer_address: Option<SocketAddr>,
+    /// Address at which the host gathers parts of searches for other hosts of its failure domain; `None` if it does not.
+    pub parts_address: Option<SocketAddr>,
 }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod registry;
 pub mod route_table;
 pub mod serving_view;
+pub mod shard_groups;
 pub mod target_pick;
 pub mod target_record;
 pub mod target_state;
--- a/crates/dispatch/src/registry.rs
+++ b/crates/dispatch/src/registry.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -308,11 +309,20 @@
             pools: pools.into_iter().map(|(id, pool)| (id, Arc::new(pool))).collect(),
             routes: self.routes.clone(),
             limits: config.limits,
+            part_hosts: self.part_hosts(),
             host_count: (self.hosts.len() + self.gone_hosts.len()).max(1),
             retry_limits: self.retry_limits,
         })
     }
 
+    /// Hosts of this failure domain that gather parts of searches, with their addresses for that.
+    fn part_hosts(&self) -> BTreeMap<HostId, SocketAddr> {
+        let domain = self.hosts.iter().filter(|(_, record)| {
+            record.domain.as_ref().is_some_and(|domain| **domain == *self.location.domain)
+        });
+        domain.filter_map(|(host, record)| Some((host.clone(), record.parts_address?))).collect()
+    }
+
     fn apply_target(&mut self, record: TargetRecord, now: Duration) -> bool {
         let id = Arc::clone(&record.id);
         let known = self.records.get(&id);
--- a/crates/dispatch/src/route_table.rs
+++ b/crates/dispatch/src/route_table.rs
@@ -25,6 +25,11 @@
         Self { hosts }
     }
 
+    /// Route with this id.
+    pub fn get(&self, id: &str) -> Option<&Arc<RouteContract>> {
+        self.hosts.values().flatten().find(|route| *route.id == *id)
+    }
+
     /// Route of `host` with the longest prefix that matches `path`; a port in `host` is ignored.
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<RouteContract>> {
         let name = host.split_once(':').map_or(host, |(name, _)| name).to_ascii_lowercase();
--- /dev/null
+++ b/crates/dispatch/src/shard_groups.rs
@@ -0,0 +1,110 @@
+//! Divides the shards of a search among the hosts of a failure domain, which gather their parts side by side.
+//!
+//! A search over hundreds of shards costs one host so much processor time that a slow processor alone makes it late. The
+//! hosts of its failure domain are mostly idle meanwhile. Owners of a group are chosen by hash, so that each host keeps its
+//! connections to the targets of few shards and finds them open.
+
+use std::ops::Range;
+use std::time::Duration;
+
+use rand::Rng;
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::config_document::PoolId;
+use crate::host_record::HostId;
+
+/// Number of shards from which a search is divided.
+const MIN_GROUPED_SHARDS: usize = 60;
+
+/// Approximate number of shards in a group. Smaller groups gain less than their messages cost.
+const GROUP_SHARDS: usize = 30;
+
+/// Minimum number of other hosts that gather parts. With fewer, one that fails loses too large a part of each search.
+const MIN_GROUP_HOSTS: usize = 6;
+
+/// Number of hosts that own a group: enough to share its load and to replace one that fails.
+const OWNERS: usize = 3;
+
+/// Backoff of an owner after its first failure in a row; it doubles with each further one.
+const MIN_OWNER_BACKOFF: Duration = Duration::from_millis(500);
+
+/// Upper limit of the backoff of an owner.
+const MAX_OWNER_BACKOFF: Duration = Duration::from_secs(8);
+
+/// Part of the time to the soft deadline in which an owner sends its first message: long enough that most parts are in it.
+const FIRST_MESSAGE_FRACTION: f64 = 0.35;
+
+/// Part of the time to the soft deadline after which an owner counts as failed; the rest is for other attempts.
+const OWNER_TIMEOUT_FRACTION: f64 = 0.55;
+
+/// Consecutive shards of a search that one host gathers.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ShardGroup {
+    /// Positions in the shard list of the route; never empty.
+    pub shards: Range<usize>,
+    /// Hosts that own the group, by decreasing rank; the same on all hosts that know the same hosts.
+    pub owners: Vec<HostId>,
+}
+
+/// Current state of an owner, as one host sees it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct OwnerState {
+    /// Whether the host failed lately.
+    pub is_in_backoff: bool,
+    /// Groups that this host has asked for and that are not complete.
+    pub in_flight: usize,
+}
+
+/// Groups of a search over `pools`, gathered by `hosts`; empty if the search should not be divided.
+pub fn shard_groups(pools: &[PoolId], hosts: &[HostId]) -> Vec<ShardGroup> {
+    if pools.len() < MIN_GROUPED_SHARDS || hosts.len() < MIN_GROUP_HOSTS {
+        return Vec::new();
+    }
+    let count = pools.len().div_ceil(GROUP_SHARDS);
+    (0..count)
+        .map(|group| {
+            let shards = group * pools.len() / count..(group + 1) * pools.len() / count;
+            let owners = rank_owners(&pools[shards.start], hosts);
+            ShardGroup { shards, owners }
+        })
+        .collect()
+}
+
+/// Owner to ask, of those of one group: the one with the least to do; `None` if all of them failed lately.
+pub fn pick_owner(owners: &[OwnerState], rng: &mut impl Rng) -> Option<usize> {
+    let usable = owners.iter().enumerate().filter(|(_, owner)| !owner.is_in_backoff);
+    let ranked = usable.map(|(index, owner)| (owner.in_flight, rng.random::<u32>(), index));
+    ranked.min().map(|(_, _, index)| index)
+}
+
+/// Backoff of an owner after this number of failures in a row.
+pub fn owner_backoff(failures: u32) -> Duration {
+    let doublings = failures.saturating_sub(1).min(8);
+    (MIN_OWNER_BACKOFF * (1 << doublings)).min(MAX_OWNER_BACKOFF)
+}
+
+/// Time from now until the owner of a group must have sent its first message, of the `left` until the soft deadline. It
+/// sends a second attempt of a shard only after that message, so a group whose message is missing can be asked for again
+/// without exceeding the attempts of the route.
+pub fn first_message_due(left: Duration) -> Duration {
+    left.mul_f64(FIRST_MESSAGE_FRACTION)
+}
+
+/// Time from now after which an owner without a first message counts as failed.
+pub fn owner_timeout(left: Duration) -> Duration {
+    left.mul_f64(OWNER_TIMEOUT_FRACTION)
+}
+
+fn rank_owners(first_pool: &PoolId, hosts: &[HostId]) -> Vec<HostId> {
+    let mut ranked: Vec<(u64, &HostId)> = hosts
+        .iter()
+        .map(|host| {
+            let mut hasher = Xxh3::new();
+            hasher.update(first_pool.as_bytes());
+            hasher.update(host.as_bytes());
+            (hasher.digest(), host)
+        })
+        .collect();
+    ranked.sort_unstable();
+    ranked.into_iter().take(OWNERS).map(|(_, host)| HostId::clone(host)).collect()
+}
--- a/crates/dispatch/tests/common/load_model.rs
+++ b/crates/dispatch/tests/common/load_model.rs
@@ -167,7 +167,7 @@
             deadline: now + DEADLINE,
         };
         let mut plan = DispatchPlan::new(route, view, times, &mut self.rng);
-        let commands = plan.start(now, &mut self.rng);
+        let commands = plan.start(&[], now, &mut self.rng);
         let shards = plan.shard_count();
         self.requests.push(ModelRequest { plan, arrived: now, is_over: false, shards });
         self.result.requests += 1;
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -62,7 +62,11 @@
 
 /// Registration of a host in `domain` that serves changes to peers on this port.
 pub fn host_record(domain: &str, port: u16) -> HostRecord {
-    HostRecord { domain: Some(domain.into()), peer_address: Some(([127, 0, 0, 1], port).into()) }
+    HostRecord {
+        domain: Some(domain.into()),
+        peer_address: Some(([127, 0, 0, 1], port).into()),
+        parts_address: None,
+    }
 }
 
 pub fn route(id: &str, pools: RoutePools, repeat: RepeatRule) -> RouteContract {
--- a/crates/dispatch/tests/dispatch_sessions.rs
+++ b/crates/dispatch/tests/dispatch_sessions.rs
@@ -32,7 +32,7 @@
         outcomes: Vec::new(),
         lines: String::new(),
     };
-    let commands = session.plan.start(Duration::ZERO, &mut session.rng);
+    let commands = session.plan.start(&[], Duration::ZERO, &mut session.rng);
     session.send(commands, Duration::ZERO);
     let mut now = Duration::ZERO;
     for _ in 0..1000 {
--- a/crates/relay/src/caller_response.rs
+++ b/crates/relay/src/caller_response.rs
@@ -36,19 +36,18 @@
     UPGRADE,
 ];
 
-/// Response to a search, merged from the replies of its shards.
+/// Response to a search, merged from the records of its shards; `stamps` has one entry for each shard that answered.
 pub(crate) fn merged_response(
     wire: &CallerWire,
-    replies: &[TargetReply],
+    records: &[Bytes],
+    stamps: &[HeaderValue],
     missing: usize,
     limit: usize,
 ) -> Response<ResponseBody> {
-    let parts: Vec<Bytes> = replies.iter().map(|reply| reply.body.clone()).collect();
-    let stamps: Vec<HeaderValue> = replies.iter().filter_map(|reply| reply.stamp.clone()).collect();
-    let mut response = Response::new(Full::new(greatest_records(&parts, limit)));
+    let mut response = Response::new(Full::new(greatest_records(records, limit)));
     let headers = response.headers_mut();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/octet-stream"));
-    (wire.write_parts)(headers, &stamps, missing);
+    (wire.write_parts)(headers, stamps, missing);
     response
 }
 
--- a/crates/relay/src/host_registration.rs
+++ b/crates/relay/src/host_registration.rs
@@ -46,8 +46,11 @@
     let wire = host.wire.store;
     let lease = store.read((wire.lease)(LEASE_TTL), Duration::ZERO, wire.read_lease).await?;
     let settings = &host.settings;
-    let record =
-        HostRecord { domain: Some(settings.domain.as_str().into()), peer_address: settings.peers };
+    let record = HostRecord {
+        domain: Some(settings.domain.as_str().into()),
+        peer_address: settings.peers,
+        parts_address: settings.parts,
+    };
     store.send((wire.register_host)(&settings.host, &record, lease), Duration::ZERO).await?;
     tracing::info!(lease, "host registered");
     Ok(lease)
--- a/crates/relay/src/kept_connection.rs
+++ b/crates/relay/src/kept_connection.rs
@@ -11,6 +11,7 @@
 use bytes::BytesMut;
 use http_body_util::Full;
 use hyper::Request;
+use hyper::Response;
 use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::Connection;
@@ -75,6 +76,16 @@
         &mut self,
         request: Request<CallBody>,
     ) -> Result<(Parts, Bytes), ExchangeError> {
+        let (parts, body) = self.send(request).await?.into_parts();
+        let body = self.read_body(body).await.map_err(ExchangeError::Lost)?;
+        Ok((parts, body))
+    }
+
+    /// Sends a request and reads the head of the reply.
+    pub(crate) async fn send(
+        &mut self,
+        request: Request<CallBody>,
+    ) -> Result<Response<Incoming>, ExchangeError> {
         let is_ready = std::future::poll_fn(|context| {
             self.drive(context);
             match self.sender.poll_ready(context) {
@@ -99,11 +110,7 @@
         })
         .await;
         match response {
-            Some(Ok(response)) => {
-                let (parts, body) = response.into_parts();
-                let body = self.read_body(body).await.map_err(ExchangeError::Lost)?;
-                Ok((parts, body))
-            }
+            Some(Ok(response)) => Ok(response),
             Some(Err(mut error)) => match error.take_message() {
                 Some(_) => Err(ExchangeError::Unsent),
                 None => Err(ExchangeError::Lost(error.into_error().to_string())),
@@ -112,21 +119,25 @@
         }
     }
 
+    /// Reads more of the body of a reply; `None` at its end.
+    pub(crate) async fn next_data(&mut self, body: &mut Incoming) -> Result<Option<Bytes>, String> {
+        let (driver, is_closed) = (&mut self.driver, &mut self.is_closed);
+        let frame = std::future::poll_fn(|context| {
+            drive(driver, is_closed, context);
+            Pin::new(&mut *body).poll_frame(context)
+        })
+        .await;
+        match frame {
+            None => Ok(None),
+            Some(Err(error)) => Err(error.to_string()),
+            Some(Ok(frame)) => Ok(Some(frame.into_data().unwrap_or_default())),
+        }
+    }
+
     async fn read_body(&mut self, mut body: Incoming) -> Result<Bytes, String> {
         let mut first = Bytes::new();
         let mut rest = BytesMut::new();
-        loop {
-            let (driver, is_closed) = (&mut self.driver, &mut self.is_closed);
-            let frame = std::future::poll_fn(|context| {
-                drive(driver, is_closed, context);
-                Pin::new(&mut body).poll_frame(context)
-            })
-            .await;
-            let data = match frame {
-                None => break,
-                Some(Err(error)) => return Err(error.to_string()),
-                Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
-            };
+        while let Some(data) = self.next_data(&mut body).await? {
             if first.len() + rest.len() + data.len() > MAX_REPLY_BYTES {
                 return Err(format!("the reply body exceeds {MAX_REPLY_BYTES} bytes"));
             }
--- /dev/null
+++ b/crates/relay/src/parts_client.rs
@@ -0,0 +1,163 @@
+//! Asks other hosts for the parts of groups of shards.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Method;
+use hyper::Request;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::header::HOST;
+use hyper::header::HeaderValue;
+use vanillapick_dispatch::shard_groups::ShardGroup;
+use vanillapick_dispatch::shard_groups::pick_owner;
+
+use crate::kept_connection::ExchangeError;
+use crate::kept_connection::KeptConnection;
+use crate::part_peers::GroupInFlight;
+use crate::part_peers::PartPeer;
+use crate::parts_wire::MessageReader;
+use crate::parts_wire::PARTS_PATH;
+use crate::parts_wire::PartsMessage;
+use crate::relay_host::RelayHost;
+use crate::relay_host::RelayView;
+
+/// Number of owners that are asked in turn if one refuses a group or cannot be reached.
+const MAX_OWNERS_ASKED: usize = 2;
+
+/// Host name in the head of the calls; the receiver does not use it.
+const HOST_VALUE: HeaderValue = HeaderValue::from_static("peer");
+
+/// Reason why a group was not gathered by another host.
+#[derive(Debug)]
+pub(crate) enum GroupFailure {
+    /// No host has started on the group.
+    NotStarted(String),
+    /// The host may have sent attempts, at most one for each shard if no message has arrived.
+    Lost(String),
+}
+
+/// A group whose host has sent a message that was not the last one.
+pub(crate) struct GroupCall {
+    peer: Arc<PartPeer>,
+    connection: KeptConnection,
+    body: Incoming,
+    reader: MessageReader,
+    _in_flight: GroupInFlight,
+}
+
+/// Next message of a group, and the call if more follow.
+pub(crate) type GroupProgress = Result<(PartsMessage, Option<GroupCall>), GroupFailure>;
+
+/// Asks an owner of a group for its parts and waits for the first message. The owner counts as failed after `timeout`.
+pub(crate) async fn start_group(
+    host: Arc<RelayHost>,
+    view: Arc<RelayView>,
+    group: ShardGroup,
+    request: Bytes,
+    timeout: Duration,
+) -> GroupProgress {
+    let mut detail = "all owners failed lately".to_owned();
+    let ends_at = host.now() + timeout;
+    for _ in 0..MAX_OWNERS_ASKED {
+        let peers: Vec<&Arc<PartPeer>> =
+            group.owners.iter().filter_map(|owner| view.part_peers.get(owner)).collect();
+        let states: Vec<_> = peers.iter().map(|peer| peer.state(host.now())).collect();
+        let Some(index) = pick_owner(&states, &mut host.rng()) else { break };
+        let peer = Arc::clone(peers[index]);
+        let left = ends_at.saturating_sub(host.now());
+        let asking = ask(&host, Arc::clone(&peer), request.clone());
+        let asked = tokio::time::timeout(left, asking).await;
+        let asked = asked.unwrap_or_else(|_| Err(GroupFailure::Lost("no message in time".into())));
+        match asked {
+            Ok(progress) => {
+                peer.record_success();
+                return Ok(progress);
+            }
+            Err(GroupFailure::NotStarted(reason)) => {
+                peer.record_failure(host.now());
+                detail = format!("{}: {reason}", peer.host);
+            }
+            Err(GroupFailure::Lost(reason)) => {
+                peer.record_failure(host.now());
+                return Err(GroupFailure::Lost(format!("{}: {reason}", peer.host)));
+            }
+        }
+    }
+    Err(GroupFailure::NotStarted(detail))
+}
+
+/// Waits for the next message of a group.
+pub(crate) async fn continue_group(host: Arc<RelayHost>, call: GroupCall) -> GroupProgress {
+    let peer = Arc::clone(&call.peer);
+    let progress = next_message(&host, call).await;
+    if progress.is_err() {
+        peer.record_failure(host.now());
+    }
+    progress
+}
+
+async fn ask(host: &Arc<RelayHost>, peer: Arc<PartPeer>, request: Bytes) -> GroupProgress {
+    let in_flight = peer.start_group();
+    loop {
+        let idle = peer.take_idle(host.now()).await;
+        let is_new = idle.is_none();
+        let mut connection = match idle {
+            Some(connection) => connection,
+            None => peer.open(host.now()).await.map_err(GroupFailure::NotStarted)?,
+        };
+        let response = match connection.send(parts_call(request.clone())).await {
+            Ok(response) => response,
+            Err(ExchangeError::Unsent) if !is_new => continue,
+            Err(ExchangeError::Unsent) => {
+                return Err(GroupFailure::NotStarted("the host closed the connection".into()));
+            }
+            Err(ExchangeError::Lost(detail)) => return Err(GroupFailure::Lost(detail)),
+        };
+        if response.status() != StatusCode::OK {
+            let detail = format!("refused with status {}", response.status());
+            return Err(GroupFailure::NotStarted(detail));
+        }
+        let call = GroupCall {
+            peer,
+            connection,
+            body: response.into_body(),
+            reader: MessageReader::default(),
+            _in_flight: in_flight,
+        };
+        return next_message(host, call).await;
+    }
+}
+
+async fn next_message(host: &Arc<RelayHost>, mut call: GroupCall) -> GroupProgress {
+    loop {
+        if let Some(message) = call.reader.next_message().map_err(GroupFailure::Lost)? {
+            if !message.is_last {
+                return Ok((message, Some(call)));
+            }
+            tokio::spawn(finish(Arc::clone(host), call));
+            return Ok((message, None));
+        }
+        match call.connection.next_data(&mut call.body).await.map_err(GroupFailure::Lost)? {
+            Some(data) => call.reader.push(&data),
+            None => return Err(GroupFailure::Lost("the messages broke off".into())),
+        }
+    }
+}
+
+/// Returns the connection to the idle ones once the response has ended.
+async fn finish(host: Arc<RelayHost>, mut call: GroupCall) {
+    if let Ok(None) = call.connection.next_data(&mut call.body).await {
+        call.peer.put_idle(call.connection, host.now()).await;
+    }
+}
+
+fn parts_call(request: Bytes) -> Request<Full<Bytes>> {
+    let mut call = Request::new(Full::new(request));
+    *call.method_mut() = Method::POST;
+    *call.uri_mut() = hyper::Uri::from_static(PARTS_PATH);
+    call.headers_mut().insert(HOST, HOST_VALUE);
+    call
+}
--- a/crates/relay/src/relay_host.rs
+++ b/crates/relay/src/relay_host.rs
@@ -29,6 +29,7 @@
 use crate::connection_table::ConnectionTable;
 use crate::log_limiter::LogLimiter;
 use crate::move_tracker::MoveTracker;
+use crate::part_peers::PartPeerTable;
 use crate::relay_server::host_location;
 use crate::wire::PlatformWire;
 
@@ -58,6 +59,7 @@
     has_served: AtomicBool,
     has_store_watch: AtomicBool,
     is_behind: AtomicBool,
+    attempts: AtomicU64,
     loop_delay_us: AtomicU64,
     wake_lateness_us: AtomicU64,
     crashes: Mutex<CrashGuard>,
@@ -72,6 +74,8 @@
 pub(crate) struct RelayView {
     pub(crate) serving: Arc<ServingView>,
     pub(crate) connections: ConnectionTable,
+    /// Hosts that gather parts of searches for this one.
+    pub(crate) part_peers: PartPeerTable,
 }
 
 /// Lifecycle phase of the process.
@@ -109,6 +113,7 @@
             has_served: AtomicBool::new(false),
             has_store_watch: AtomicBool::new(false),
             is_behind: AtomicBool::new(false),
+            attempts: AtomicU64::new(0),
             loop_delay_us: AtomicU64::new(0),
             wake_lateness_us: AtomicU64::new(0),
             crashes: Mutex::default(),
@@ -132,11 +137,18 @@
     /// Replaces the current view. Targets that are in both views and have not restarted keep their connections.
     pub fn install(&self, serving: ServingView) {
         let before = self.view.load();
-        let connections = match before.as_ref() {
-            Some(before) => before.connections.renewed(&serving),
-            None => ConnectionTable::default().renewed(&serving),
+        let own = &self.settings.host;
+        let (connections, part_peers) = match before.as_ref() {
+            Some(before) => {
+                (before.connections.renewed(&serving), before.part_peers.renewed(&serving, own))
+            }
+            None => (
+                ConnectionTable::default().renewed(&serving),
+                PartPeerTable::default().renewed(&serving, own),
+            ),
         };
-        self.view.store(Some(Arc::new(RelayView { serving: Arc::new(serving), connections })));
+        let serving = Arc::new(serving);
+        self.view.store(Some(Arc::new(RelayView { serving, connections, part_peers })));
     }
 
     pub(crate) fn view(&self) -> Option<Arc<RelayView>> {
@@ -155,6 +167,21 @@
         Some(pools.map(|pool| pool.targets.len()).sum())
     }
 
+    /// Number of other hosts that gather parts of searches for this one.
+    pub fn part_host_count(&self) -> usize {
+        self.view.load().as_ref().map_or(0, |view| view.part_peers.hosts().len())
+    }
+
+    /// Number of attempts sent so far, for its own requests and for other hosts.
+    pub fn attempts(&self) -> u64 {
+        self.attempts.load(Relaxed)
+    }
+
+    pub(crate) fn count_attempt(&self, cause: &'static str) {
+        self.attempts.fetch_add(1, Relaxed);
+        metrics::counter!("vanillapick_attempts_total", "cause" => cause).increment(1);
+    }
+
     /// Whether the balancer may send new connections to this host.
     pub fn is_ready(&self) -> bool {
         *self.phase.borrow() == HostPhase::Serving && self.view.load().is_some()
--- a/crates/relay/src/relay_server.rs
+++ b/crates/relay/src/relay_server.rs
@@ -22,6 +22,7 @@
 use crate::host_registration::maintain_registration;
 use crate::loop_delay::measure_loop_delay;
 use crate::move_tracker::run_moves;
+use crate::parts_server::serve_parts;
 use crate::peer_changes::serve_changes;
 use crate::relay_host::RelayHost;
 use crate::store_client::StoreClient;
@@ -61,6 +62,7 @@
         let tasks = vec![
             tokio::spawn(follow_store(Arc::clone(&host), store.clone(), registry)),
             tokio::spawn(accept_callers(Arc::clone(&host), listener)),
+            tokio::spawn(serve_parts(Arc::clone(&host))),
             tokio::spawn(maintain_registration(Arc::clone(&host), store.clone())),
             tokio::spawn(publish_crash_marks(Arc::clone(&host), store.clone(), fingerprints)),
             tokio::spawn(run_moves(Arc::clone(&host), store)),
--- a/crates/relay/src/request_flow.rs
+++ b/crates/relay/src/request_flow.rs
@@ -1,5 +1,7 @@
 //! Handles one request of a caller: routing, admission, attempts at targets and the response.
 
+use std::collections::BTreeSet;
+use std::ops::Range;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering::Relaxed;
@@ -17,11 +19,13 @@
 use hyper::body::Incoming;
 use hyper::header::EXPECT;
 use hyper::header::HOST;
+use hyper::header::HeaderValue;
 use hyper::http::request::Parts;
 use rand::rngs::SmallRng;
 use vanillapick_dispatch::admission::admit;
 use vanillapick_dispatch::attempt::AttemptOutcome;
 use vanillapick_dispatch::attempt::SendCommand;
+use vanillapick_dispatch::config_document::RegionId;
 use vanillapick_dispatch::config_document::RouteContract;
 use vanillapick_dispatch::config_document::RoutePools;
 use vanillapick_dispatch::crash_guard::RequestFingerprint;
@@ -30,6 +34,10 @@
 use vanillapick_dispatch::dispatch_plan::PlanVerdict;
 use vanillapick_dispatch::dispatch_plan::RefusalCause;
 use vanillapick_dispatch::dispatch_plan::RequestTimes;
+use vanillapick_dispatch::shard_groups::ShardGroup;
+use vanillapick_dispatch::shard_groups::first_message_due;
+use vanillapick_dispatch::shard_groups::owner_timeout;
+use vanillapick_dispatch::shard_groups::shard_groups;
 use vanillapick_dispatch::unknown_route::UnknownRoute;
 use vanillapick_dispatch::unknown_route::refuse_unknown_route;
 
@@ -40,6 +48,13 @@
 use crate::caller_response::not_run_response;
 use crate::caller_response::remove_hop_by_hop_headers;
 use crate::crash_marks::request_fingerprint;
+use crate::parts_client::GroupFailure;
+use crate::parts_client::GroupProgress;
+use crate::parts_client::continue_group;
+use crate::parts_client::start_group;
+use crate::parts_wire::PartsMessage;
+use crate::parts_wire::PartsRequest;
+use crate::parts_wire::encode_headers;
 use crate::relay_host::RelayHost;
 use crate::relay_host::RelayView;
 use crate::relay_host::RunningRequest;
@@ -63,7 +78,7 @@
 
 /// Time that attempts may continue after the response, so that their connections can be reused. It is long enough to cover
 /// a pause of a target.
-const UNUSED_ATTEMPT_GRACE: Duration = Duration::from_millis(250);
+pub(crate) const UNUSED_ATTEMPT_GRACE: Duration = Duration::from_millis(250);
 
 /// Retry-after time if no target is in service.
 const NO_TARGET_RETRY_AFTER: Duration = Duration::from_millis(150);
@@ -209,6 +224,16 @@
     view.serving.route_table.find(name, parts.uri.path()).cloned()
 }
 
+/// Parts that other hosts have gathered.
+#[derive(Default)]
+struct GatheredParts {
+    stamps: Vec<HeaderValue>,
+    /// Records of each message; together they contain the greatest ones of all stamped parts.
+    records: Vec<Bytes>,
+    /// Groups that have sent a message.
+    groups: BTreeSet<usize>,
+}
+
 /// State of an admitted request.
 struct RequestFlow {
     request: Arc<ForwardedRequest>,
@@ -217,6 +242,10 @@
     times: RequestTimes,
     rng: SmallRng,
     attempts: RunningAttempts,
+    /// Groups of shards that other hosts gather, and the next message of each.
+    groups: Vec<ShardGroup>,
+    gathering: FuturesUnordered<BoxFuture<'static, (usize, GroupProgress)>>,
+    gathered: GatheredParts,
     replies: Vec<(usize, TargetReply)>,
     /// One entry for each attempt without an answer, for the log.
     failures: Vec<String>,
@@ -261,6 +290,9 @@
             times,
             rng,
             attempts: FuturesUnordered::new(),
+            groups: Vec::new(),
+            gathering: FuturesUnordered::new(),
+            gathered: GatheredParts::default(),
             replies: Vec::new(),
             failures: Vec::new(),
             has_lost_target: false,
@@ -270,8 +302,11 @@
     async fn run(mut self, running: RunningRequest) -> Response<ResponseBody> {
         let host = Arc::clone(&self.request.host);
         let cancel_guard = CancelGuard::new(&host, &self.request.request_id, &self.route);
-        let commands = self.plan.start(host.now(), &mut self.rng);
+        self.groups = self.choose_groups();
+        let groups: Vec<_> = self.groups.iter().map(|group| group.shards.clone()).collect();
+        let commands = self.plan.start(&groups, host.now(), &mut self.rng);
         self.send(commands);
+        self.send_groups();
         let verdict = loop {
             let now = host.now();
             if let Some(verdict) = self.plan.verdict(now) {
@@ -280,6 +315,7 @@
             let wake = self.plan.next_wake(now);
             tokio::select! {
                 Some(result) = self.attempts.next() => self.on_result(result),
+                Some((group, progress)) = self.gathering.next() => self.on_progress(group, progress),
                 () = tokio::time::sleep(wake.saturating_sub(now)) => {
                     host.record_wake_lateness(host.now().saturating_sub(wake));
                     let commands = self.plan.on_wake(host.now(), &mut self.rng);
@@ -294,10 +330,125 @@
         response
     }
 
+    /// Groups of shards to have gathered by other hosts; none if this host sends all attempts itself.
+    fn choose_groups(&self) -> Vec<ShardGroup> {
+        let RoutePools::Sharded(sharded) = &self.route.pools else { return Vec::new() };
+        let (host, view) = (&self.request.host, &self.request.view);
+        let region = host.settings.regions.get(&host.settings.domain);
+        let region = region.map(|region| RegionId::from(region.as_str()));
+        if !self.plan.is_idempotent() || !self.route.allows_region(region.as_ref()) {
+            return Vec::new();
+        }
+        shard_groups(&sharded.pools, &view.part_peers.hosts())
+    }
+
+    fn send_groups(&mut self) {
+        for number in 0..self.groups.len() {
+            let group = self.groups[number].clone();
+            if !self.plan.is_gathered(group.shards.start) {
+                continue;
+            }
+            let (request, times) = (&self.request, &self.times);
+            let now = request.host.now();
+            let soft_left = times.soft_deadline.saturating_sub(now);
+            let asked = PartsRequest {
+                version: request.view.serving.version,
+                route: self.route.id.to_string(),
+                first_shard: group.shards.start,
+                end_shard: group.shards.end,
+                first_message: first_message_due(soft_left),
+                soft_left,
+                left: times.deadline.saturating_sub(now),
+                caller_left: request.deadline.saturating_sub(now),
+                method: request.method.to_string(),
+                uri: request.uri.to_string(),
+                request_id: Bytes::copy_from_slice(request.request_id.as_bytes()),
+                headers: encode_headers(&request.headers),
+                body: request.body.clone(),
+            };
+            let encoded = rmp_serde::to_vec(&asked).expect("strings and bytes are serializable");
+            let starting = start_group(
+                Arc::clone(&request.host),
+                Arc::clone(&request.view),
+                group,
+                Bytes::from(encoded),
+                owner_timeout(soft_left),
+            );
+            self.gathering.push(Box::pin(async move { (number, starting.await) }));
+        }
+    }
+
+    fn on_progress(&mut self, number: usize, progress: GroupProgress) {
+        let now = self.request.host.now();
+        let shards = self.groups[number].shards.clone();
+        match progress {
+            Ok((message, call)) => {
+                self.gathered.groups.insert(number);
+                let is_over = call.is_none();
+                if let Some(call) = call {
+                    let host = Arc::clone(&self.request.host);
+                    let next = async move { (number, continue_group(host, call).await) };
+                    self.gathering.push(Box::pin(next));
+                }
+                self.on_message(message, &shards);
+                if is_over {
+                    self.plan.abandon_gathered(shards);
+                }
+            }
+            Err(GroupFailure::NotStarted(detail)) => {
+                count_group("not_started");
+                self.failures.push(format!("group {number}: {detail}"));
+                let commands = self.plan.take_back(shards, false, now, &mut self.rng);
+                self.send(commands);
+            }
+            Err(GroupFailure::Lost(detail)) => {
+                count_group("lost");
+                self.failures.push(format!("group {number}: {detail}"));
+                if self.gathered.groups.contains(&number) {
+                    self.plan.abandon_gathered(shards);
+                } else {
+                    let commands = self.plan.take_back(shards, true, now, &mut self.rng);
+                    self.send(commands);
+                }
+            }
+        }
+    }
+
+    fn on_message(&mut self, message: PartsMessage, shards: &Range<usize>) {
+        if message.has_lost_target {
+            self.record_crash_evidence(AttemptOutcome::Lost);
+        }
+        if !message.parts.is_empty() {
+            self.record_crash_evidence(AttemptOutcome::Answered);
+        }
+        for shard in message.failed.iter().filter(|shard| shards.contains(*shard)) {
+            self.plan.abandon_gathered(*shard..*shard + 1);
+        }
+        // Parts and records belong together, so a message counts as a whole or not at all.
+        let stamps: Option<Vec<HeaderValue>> = message
+            .parts
+            .iter()
+            .map(|(shard, stamp)| {
+                let is_expected = shards.contains(shard) && self.plan.is_gathered(*shard);
+                let stamp = HeaderValue::from_maybe_shared(stamp.clone()).ok();
+                stamp.filter(|_| is_expected)
+            })
+            .collect();
+        let distinct: BTreeSet<usize> = message.parts.iter().map(|(shard, _)| *shard).collect();
+        let Some(stamps) = stamps.filter(|stamps| stamps.len() == distinct.len()) else {
+            count_group("malformed");
+            return;
+        };
+        for (shard, _) in &message.parts {
+            self.plan.on_gathered(*shard);
+        }
+        self.gathered.stamps.extend(stamps);
+        self.gathered.records.push(message.records);
+    }
+
     fn send(&mut self, commands: impl IntoIterator<Item = SendCommand>) {
         for command in commands {
-            metrics::counter!("vanillapick_attempts_total", "cause" => command.cause.label())
-                .increment(1);
+            self.request.host.count_attempt(command.cause.label());
             self.attempts.push(Box::pin(run_attempt(Arc::clone(&self.request), command)));
         }
     }
@@ -358,7 +509,10 @@
                     let reply = replies.pop().expect("an answered request has a reply");
                     return forwarded_response(reply);
                 };
-                merged_response(&wire, &replies, missing, sharded.result_limit)
+                let mut parts = std::mem::take(&mut self.gathered);
+                parts.records.extend(replies.iter().map(|reply| reply.body.clone()));
+                parts.stamps.extend(replies.into_iter().filter_map(|reply| reply.stamp));
+                merged_response(&wire, &parts.records, &parts.stamps, missing, sharded.result_limit)
             }
             PlanVerdict::TargetFailed(attempt) => {
                 let reply = self.take_reply(attempt).expect("a failed attempt has a reply");
@@ -404,6 +558,7 @@
             took_ms,
             shards,
             answered,
+            groups = self.groups.len(),
             sent = self.plan.sent_count(),
             waiting = self.plan.describe_pending_attempts(now),
             trouble = self.failures.join("; "),
@@ -433,6 +588,10 @@
     }
 }
 
+fn count_group(end: &'static str) {
+    metrics::counter!("vanillapick_group_failures_total", "end" => end).increment(1);
+}
+
 fn count_refusal(reason: &'static str) {
     metrics::counter!("vanillapick_refusals_total", "reason" => reason).increment(1);
 }
--- a/crates/settings/src/relay_check.rs
+++ b/crates/settings/src/relay_check.rs
@@ -22,6 +22,10 @@
         let label = "the address is already used for metrics".to_owned();
         add_finding("peers", label, "use another port");
     }
+    if settings.parts.is_some() && settings.parts == settings.peers {
+        let label = "the address is already used for peers".to_owned();
+        add_finding("parts", label, "use another port");
+    }
     if settings.limits.extra_window_s <= 0.0 {
         let label = "the window must be longer than 0 s".to_owned();
         add_finding("limits.extra_window_s", label, "write a length in seconds");
--- a/crates/settings/src/relay_schema.rs
+++ b/crates/settings/src/relay_schema.rs
@@ -18,7 +18,7 @@
     optional("extra_window_s", ValueSchema::NonNegative),
 ]);
 
-static FIELDS: [FieldSchema; 12] = [
+static FIELDS: [FieldSchema; 13] = [
     required("host", ValueSchema::Name),
     required("domain", ValueSchema::Name),
     required("regions", ValueSchema::Map(&ValueSchema::Name)),
@@ -27,6 +27,7 @@
     optional("metrics", ValueSchema::Address { allows_port_zero: true }),
     // The address is published in the store for other hosts, so port 0 is not allowed.
     optional("peers", REMOTE_ADDRESS),
+    optional("parts", REMOTE_ADDRESS),
     required("store", REMOTE_ADDRESS),
     optional("machine", MACHINE),
     optional("limits", LIMITS),
--- a/crates/settings/src/relay_settings.rs
+++ b/crates/settings/src/relay_settings.rs
@@ -29,6 +29,8 @@
     /// Listening address from which other hosts in the failure domain fetch store changes; changes are not served if
     /// absent.
     pub peers: Option<SocketAddr>,
+    /// Listening address at which other hosts in the failure domain ask for parts of searches; none are gathered if absent.
+    pub parts: Option<SocketAddr>,
     /// Address of the platform's store.
     pub store: SocketAddr,
     /// Resources of the machine that runs the host.
