The bytes of a reply are limited in all, and the memory of all replies by that of the machine

Cause: each reply to a relay could hold 8 MiB, a part of a search too, whatever the memory of the host; interim replies, chunk sizes and tiny chunks were read without end until the caller's deadline. With 100 requests that met targets which send bodies without end, a process held 469 MiB; the smallest machines have 160. At the speed of loopback, endless interim replies, chunks and chunk sizes kept the host from answering anyone for seconds. Replies of the store, of peers and, in the entry program, of targets had a time limit and no size limit.

Change: a part may have 64 times the records that its route returns; bodies take at most a quarter of the machine's memory (setting machine.memory_mb), and the reply that grows gives way, those below 16 KiB never. MeteredStream bounds all bytes of an exchange; a body in tiny pieces counts 1 KiB for each. Such a target counts as failed, its connection is closed and another one is asked. platform::reply_body limits the replies that are read with reqwest.

The entry program has limits for each reply, none for all of them.

--- a/crates/dispatch/src/config_document.rs
+++ b/crates/dispatch/src/config_document.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::gather::RECORD_BYTES;
+
 /// Name of a pool, by which routes and targets refer to it.
 pub type PoolId = Arc<str>;
 
@@ -49,7 +51,27 @@
     pub allowed_regions: Vec<RegionId>,
 }
 
+/// Size limit of the reply to a request that goes to a single target.
+const MAX_REPLY_BYTES: usize = 8 << 20;
+
+/// Minimum of the size limit of a shard's part.
+const MIN_PART_LIMIT: usize = 64 << 10;
+
+/// A part may have this many times the records that the route returns, because targets need not select them.
+const PART_RECORDS_FACTOR: usize = 64;
+
 impl RouteContract {
+    /// Size limit of the body of one reply. Targets in trouble may send bytes without end.
+    pub fn max_reply_bytes(&self) -> usize {
+        match &self.pools {
+            RoutePools::Sharded(sharded) => {
+                let records = sharded.result_limit.saturating_mul(PART_RECORDS_FACTOR);
+                records.saturating_mul(RECORD_BYTES).clamp(MIN_PART_LIMIT, MAX_REPLY_BYTES)
+            }
+            RoutePools::Single(_) | RoutePools::Weighted(_) => MAX_REPLY_BYTES,
+        }
+    }
+
     /// Whether targets of this region may serve the route. Targets of unknown region may serve only unrestricted
     /// routes.
     pub fn allows_region(&self, region: Option<&RegionId>) -> bool {
--- a/crates/entry/src/peer_link.rs
+++ b/crates/entry/src/peer_link.rs
@@ -28,11 +28,15 @@
 use vanillapick_model::host::HostEntry;
 use vanillapick_model::host::HostId;
 use vanillapick_model::table::ConfigTable;
+use vanillapick_platform::reply_body::read_reply_body;
 
 use crate::entry_host::EntryHost;
 use crate::entry_host::lock;
 use crate::limit_shares::apply_limit_shares;
 
+/// Size limit of a peer's answer, which may contain the whole configuration.
+const MAX_ANSWER_BYTES: usize = 16 << 20;
+
 /// Interval between ticks of the peer state.
 const TICK_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -239,7 +243,7 @@
         if !response.status().is_success() {
             return None;
         }
-        let answer = response.bytes().await.ok()?.to_vec();
+        let answer = read_reply_body(response, MAX_ANSWER_BYTES).await.ok()?.to_vec();
         host.rule.pass(peer.address).await.then_some(answer)
     }
 }
--- a/crates/entry/src/target_client.rs
+++ b/crates/entry/src/target_client.rs
@@ -20,6 +20,7 @@
 use vanillapick_model::call::TargetRefusal;
 use vanillapick_model::call::header;
 use vanillapick_model::route::RouteKind;
+use vanillapick_platform::reply_body::read_reply_body;
 use vanillapick_policy::attempt::AttemptResult;
 use vanillapick_policy::attempt::AttemptSpec;
 
@@ -29,6 +30,12 @@
 use crate::target_link::ClientPurpose;
 use crate::target_link::TargetLink;
 
+/// Size limit of a target's reply. A target in trouble may send bytes without end.
+const MAX_REPLY_BYTES: usize = 8 << 20;
+
+/// Size limit of replies that carry marks or nothing.
+const MAX_STATUS_BYTES: usize = 64 << 10;
+
 /// Header that names the failure domain of the calling entry host.
 const DOMAIN_HEADER: &str = "vp-domain";
 
@@ -117,7 +124,7 @@
         let Some(client) = link.acquire(ClientPurpose::Control) else { return };
         let request = client.post(url).header(DOMAIN_HEADER, &self.domain).timeout(time_left);
         if let Ok(response) = request.send().await {
-            let _ = response.bytes().await;
+            let _ = read_reply_body(response, MAX_STATUS_BYTES).await;
         }
         link.release(client, ClientPurpose::Control);
     }
@@ -135,7 +142,8 @@
             .timeout(limit);
         let marks = match request.send().await {
             Ok(response) => {
-                response.bytes().await.ok().and_then(|body| serde_json::from_slice(&body).ok())
+                let body = read_reply_body(response, MAX_STATUS_BYTES).await.ok();
+                body.and_then(|body| serde_json::from_slice(&body).ok())
             }
             Err(_) => None,
         };
@@ -198,9 +206,9 @@
 ) -> AttemptResult {
     let status = response.status();
     let headers = response.headers().clone();
-    let body = match response.bytes().await {
+    let body = match read_reply_body(response, MAX_REPLY_BYTES).await {
         Ok(body) => body,
-        // The body was shorter or longer than announced, or its encoding is invalid.
+        // The body was shorter or longer than announced or than the limit, or its encoding is invalid.
         Err(_) => return AttemptResult::Malformed,
     };
     let marks = read_marks(attempt, &headers);
--- a/crates/platform/src/error.rs
+++ b/crates/platform/src/error.rs
@@ -4,6 +4,7 @@
 use derive_more::Error;
 
 use crate::client::StoreRevision;
+use crate::reply_body::ReplyBodyError;
 
 /// Why a call to the platform has no usable reply.
 #[derive(Clone, Debug, Display, Eq, Error, PartialEq)]
@@ -53,6 +54,17 @@
     }
 }
 
+impl From<ReplyBodyError> for PlatformError {
+    fn from(error: ReplyBodyError) -> Self {
+        match error {
+            ReplyBodyError::Http(error) => error.into(),
+            ReplyBodyError::TooLarge { .. } => {
+                Self::Malformed { detail: error.to_string(), uncertain: true }
+            }
+        }
+    }
+}
+
 impl From<reqwest::Error> for PlatformError {
     fn from(error: reqwest::Error) -> Self {
         let detail = root_cause(&error);
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,6 +1,7 @@
 //! Client of the platform's key-value store and host list, with configuration edits and idempotency claims built on it.
 
 pub mod error;
+pub mod reply_body;
 pub mod transport;
 pub mod client;
 pub mod config_edit;
--- a/crates/platform/src/transport.rs
+++ b/crates/platform/src/transport.rs
@@ -15,6 +15,7 @@
 use reqwest::header::HeaderMap;
 
 use crate::error::PlatformError;
+use crate::reply_body::read_reply_body;
 
 /// The connect timeout is the call timeout divided by this, so that an unresponsive host yields
 /// [`PlatformError::NotSent`] and not an uncertain outcome.
@@ -24,6 +25,9 @@
 /// change is due to be in force.
 const TCP_KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Size limit of a reply: several times the items of a store with thousands of targets.
+const MAX_REPLY_BYTES: usize = 32 << 20;
+
 /// Number of unanswered probes after which a connection is closed.
 const TCP_KEEPALIVE_RETRIES: u32 = 2;
 
@@ -94,7 +98,7 @@
         let response = request.timeout(timeout).send().await?;
         let status = response.status();
         let headers = response.headers().clone();
-        let body = response.bytes().await?;
+        let body = read_reply_body(response, MAX_REPLY_BYTES).await?;
         tracing::debug!(status = status.as_u16(), bytes = body.len(), "platform replied");
         Ok(PlatformReply { status, headers, body })
     }
--- a/crates/relay/src/kept_connection.rs
+++ b/crates/relay/src/kept_connection.rs
@@ -3,6 +3,7 @@
 
 use std::future::Future;
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::Context;
 use std::task::Poll;
 use std::time::Duration;
@@ -20,21 +21,43 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 
+use crate::metered_stream::MeteredStream;
+use crate::metered_stream::ReadAllowance;
+use crate::reply_memory::ReplyMemory;
+
 /// Complete request body, held in memory.
 pub type CallBody = Full<Bytes>;
 
-/// Size limit of a reply body. A reply is read completely before it is forwarded, so that a truncated one is never
-/// forwarded as complete.
-const MAX_REPLY_BYTES: usize = 8 << 20;
-
 /// Size of a connection's read buffer. Replies are small, and a host holds hundreds of connections.
 const READ_BUFFER_BYTES: usize = 16 << 10;
 
+/// Size limit of all bytes up to the end of a reply's head, including interim replies.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+
+/// Bytes on the wire for each byte of a body, at most; more are spent on the sizes of tiny chunks.
+const WIRE_BYTES_FACTOR: usize = 2;
+
+/// Bytes that each piece of a body counts at least, because the processor time to read it depends little on its size.
+const MIN_PIECE_BYTES: usize = 1 << 10;
+
+/// Limits of one reply. It is read completely before it is forwarded, so that a truncated one is never forwarded as complete.
+#[derive(Debug)]
+pub struct ReplyLimits {
+    /// Size limit of the body.
+    pub(crate) max_bytes: usize,
+    /// Memory of all replies on this host.
+    pub(crate) memory: Arc<ReplyMemory>,
+}
+
+/// Future that drives the I/O of a connection.
+type ConnectionDriver = Pin<Box<Connection<TokioIo<MeteredStream<TcpStream>>, CallBody>>>;
+
 /// Request sender of a connection, together with the future that drives its I/O.
 pub(crate) struct KeptConnection {
     sender: SendRequest<CallBody>,
-    driver: Pin<Box<Connection<TokioIo<TcpStream>, CallBody>>>,
+    driver: ConnectionDriver,
     is_closed: bool,
+    allowance: ReadAllowance,
     /// Time of the last use, since the start of the process.
     pub(crate) idle_since: Duration,
     /// Time for which the connection may be idle, if the target has sent one.
@@ -53,12 +76,22 @@
 impl KeptConnection {
     /// Performs the HTTP/1 handshake on a newly opened stream.
     pub(crate) async fn new(stream: TcpStream, now: Duration) -> Result<Self, hyper::Error> {
+        let allowance = ReadAllowance::default();
+        allowance.set(MAX_HEAD_BYTES);
+        let stream = MeteredStream::new(stream, allowance.clone());
         let (sender, driver) = hyper::client::conn::http1::Builder::new()
             .max_buf_size(READ_BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
             .await?;
         let driver = Box::pin(driver);
-        Ok(Self { sender, driver, is_closed: false, idle_since: now, idle_timeout: None })
+        Ok(Self {
+            sender,
+            driver,
+            is_closed: false,
+            allowance,
+            idle_since: now,
+            idle_timeout: None,
+        })
     }
 
     /// Whether an idle connection can send a request: it is open, and no unsolicited bytes have arrived.
@@ -75,9 +108,11 @@
     pub(crate) async fn exchange(
         &mut self,
         request: Request<CallBody>,
+        limits: &ReplyLimits,
     ) -> Result<(Parts, Bytes), ExchangeError> {
         let (parts, body) = self.send(request).await?.into_parts();
-        let body = self.read_body(body).await.map_err(ExchangeError::Lost)?;
+        self.allowance.set(limits.max_bytes * WIRE_BYTES_FACTOR);
+        let body = self.read_body(body, limits).await.map_err(ExchangeError::Lost)?;
         Ok((parts, body))
     }
 
@@ -86,6 +121,7 @@
         &mut self,
         request: Request<CallBody>,
     ) -> Result<Response<Incoming>, ExchangeError> {
+        self.allowance.set(MAX_HEAD_BYTES);
         let is_ready = std::future::poll_fn(|context| {
             self.drive(context);
             match self.sender.poll_ready(context) {
@@ -119,7 +155,14 @@
         }
     }
 
+    /// Sets how many more bytes may be read.
+    pub(crate) fn allow(&self, bytes: usize) {
+        self.allowance.set(bytes);
+    }
+
     /// Reads more of the body of a reply; `None` at its end.
+    ///
+    /// The bytes that may be read are limited; see [`Self::allow`].
     pub(crate) async fn next_data(&mut self, body: &mut Incoming) -> Result<Option<Bytes>, String> {
         let (driver, is_closed) = (&mut self.driver, &mut self.is_closed);
         let frame = std::future::poll_fn(|context| {
@@ -134,12 +177,26 @@
         }
     }
 
-    async fn read_body(&mut self, mut body: Incoming) -> Result<Bytes, String> {
+    async fn read_body(
+        &mut self,
+        mut body: Incoming,
+        limits: &ReplyLimits,
+    ) -> Result<Bytes, String> {
+        let mut reservation = limits.memory.reserve();
         let mut first = Bytes::new();
         let mut rest = BytesMut::new();
+        let mut counted = 0;
         while let Some(data) = self.next_data(&mut body).await? {
-            if first.len() + rest.len() + data.len() > MAX_REPLY_BYTES {
-                return Err(format!("the reply body exceeds {MAX_REPLY_BYTES} bytes"));
+            counted += data.len().max(MIN_PIECE_BYTES);
+            // Pieces that have arrived together are read without waiting; other requests need their turn.
+            tokio::task::consume_budget().await;
+            if limits.max_bytes < counted {
+                count_rejected_reply("too_large");
+                return Err(format!("the reply body exceeds {} bytes", limits.max_bytes));
+            }
+            if !reservation.grow(data.len()) {
+                count_rejected_reply("no_memory");
+                return Err("no memory is left for the reply body".to_owned());
             }
             if first.is_empty() {
                 first = data;
@@ -148,12 +205,12 @@
             }
         }
         if rest.is_empty() {
-            return Ok(first);
+            return Ok(reservation.attach(first));
         }
         let mut joined = BytesMut::with_capacity(first.len() + rest.len());
         joined.extend_from_slice(&first);
         joined.extend_from_slice(&rest);
-        Ok(joined.freeze())
+        Ok(reservation.attach(joined.freeze()))
     }
 
     fn drive(&mut self, context: &mut Context<'_>) {
@@ -161,11 +218,11 @@
     }
 }
 
-fn drive(
-    driver: &mut Pin<Box<Connection<TokioIo<TcpStream>, CallBody>>>,
-    is_closed: &mut bool,
-    context: &mut Context<'_>,
-) {
+fn count_rejected_reply(reason: &'static str) {
+    metrics::counter!("vanillapick_replies_rejected_total", "reason" => reason).increment(1);
+}
+
+fn drive(driver: &mut ConnectionDriver, is_closed: &mut bool, context: &mut Context<'_>) {
     if !*is_closed && driver.as_mut().poll(context).is_ready() {
         *is_closed = true;
     }
--- a/crates/relay/src/parts_client.rs
+++ b/crates/relay/src/parts_client.rs
@@ -27,6 +27,9 @@
 /// Number of owners that are asked in turn if one refuses a group or cannot be reached.
 const MAX_OWNERS_ASKED: usize = 2;
 
+/// Size limit of all messages of a group.
+const MAX_REPLY_BYTES: usize = 4 << 20;
+
 /// Host name in the head of the calls; the receiver does not use it.
 const HOST_VALUE: HeaderValue = HeaderValue::from_static("peer");
 
@@ -120,6 +123,7 @@
             let detail = format!("refused with status {}", response.status());
             return Err(GroupFailure::NotStarted(detail));
         }
+        connection.allow(MAX_REPLY_BYTES);
         let call = GroupCall {
             peer,
             connection,
--- a/crates/relay/src/parts_server.rs
+++ b/crates/relay/src/parts_server.rs
@@ -203,6 +203,7 @@
             body: asked.body,
             request_id: HeaderValue::from_maybe_shared(asked.request_id).ok()?,
             deadline: now + asked.caller_left,
+            max_reply_bytes: route.max_reply_bytes(),
             is_answered: AtomicBool::new(false),
         };
         Some(Self {
--- a/crates/relay/src/relay_host.rs
+++ b/crates/relay/src/relay_host.rs
@@ -31,6 +31,7 @@
 use crate::move_tracker::MoveTracker;
 use crate::part_peers::PartPeerTable;
 use crate::relay_server::host_location;
+use crate::reply_memory::ReplyMemory;
 use crate::wire::PlatformWire;
 
 /// Upper limit of the wake-up lateness that responses compensate for. A host that is later than this is overloaded, and
@@ -51,6 +52,8 @@
     pub moves: MoveTracker,
     /// Recent changes of the store, served to other hosts of the failure domain.
     pub(crate) changes: ChangeLog,
+    /// Memory for the bodies of targets' replies.
+    pub(crate) reply_memory: Arc<ReplyMemory>,
     view: ArcSwapOption<RelayView>,
     started: Instant,
     phase: watch::Sender<HostPhase>,
@@ -99,6 +102,7 @@
     ) -> (Arc<Self>, UnboundedReceiver<RequestFingerprint>) {
         let (crash_fingerprints, fingerprints) = unbounded_channel();
         let host = Self {
+            reply_memory: ReplyMemory::new(settings.machine.memory_mb << 20),
             has_remote_callers: host_location(&settings).accepts_remote_callers(),
             settings,
             wire,
--- /dev/null
+++ b/crates/relay/src/reply_memory.rs
@@ -0,0 +1,90 @@
+//! Bounds the memory that the bodies of targets' replies take up on this host.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering::Relaxed;
+
+use bytes::Bytes;
+
+/// Part of each reply that is not counted. It is larger than most replies, so that small ones are still read while a few
+/// large ones use up the memory. Connection limits bound the number of replies.
+const UNCOUNTED_BYTES: usize = 16 << 10;
+
+/// Part of a machine's memory for the bodies of replies.
+const MEMORY_FRACTION: f64 = 0.25;
+
+/// Memory for the bodies of all replies.
+#[derive(Debug)]
+pub struct ReplyMemory {
+    limit: usize,
+    used: AtomicUsize,
+}
+
+/// Memory of one reply, which is free again when it is dropped.
+#[derive(Debug)]
+pub struct ReplyReservation {
+    memory: Arc<ReplyMemory>,
+    bytes: usize,
+    counted: usize,
+}
+
+/// Body of a reply with its memory.
+struct ReservedBody {
+    body: Bytes,
+    _reservation: ReplyReservation,
+}
+
+impl AsRef<[u8]> for ReservedBody {
+    fn as_ref(&self) -> &[u8] {
+        &self.body
+    }
+}
+
+impl ReplyMemory {
+    /// Memory for replies on a machine with `machine_bytes` of memory.
+    pub fn new(machine_bytes: u64) -> Arc<Self> {
+        let limit = (machine_bytes as f64 * MEMORY_FRACTION) as usize;
+        Arc::new(Self { limit, used: AtomicUsize::new(0) })
+    }
+
+    /// Bytes that count now.
+    pub fn used(&self) -> usize {
+        self.used.load(Relaxed)
+    }
+
+    /// Starts a reply of which nothing has been read.
+    pub fn reserve(self: &Arc<Self>) -> ReplyReservation {
+        ReplyReservation { memory: Arc::clone(self), bytes: 0, counted: 0 }
+    }
+}
+
+impl ReplyReservation {
+    /// Adds bytes to the reply; returns whether there is memory for them. The reply that grows gives way, not those that
+    /// were read before.
+    pub fn grow(&mut self, bytes: usize) -> bool {
+        let total = self.bytes + bytes;
+        let more = total.saturating_sub(UNCOUNTED_BYTES) - self.counted;
+        let memory = &self.memory;
+        if more > 0 && memory.limit < memory.used.fetch_add(more, Relaxed) + more {
+            memory.used.fetch_sub(more, Relaxed);
+            return false;
+        }
+        self.bytes = total;
+        self.counted += more;
+        true
+    }
+
+    /// Keeps the memory reserved until the last copy of `body` is dropped.
+    pub fn attach(self, body: Bytes) -> Bytes {
+        if self.counted == 0 {
+            return body;
+        }
+        Bytes::from_owner(ReservedBody { body, _reservation: self })
+    }
+}
+
+impl Drop for ReplyReservation {
+    fn drop(&mut self) {
+        self.memory.used.fetch_sub(self.counted, Relaxed);
+    }
+}
--- a/crates/relay/src/request_flow.rs
+++ b/crates/relay/src/request_flow.rs
@@ -281,6 +281,7 @@
             body,
             request_id: head.request_id,
             deadline: times.arrived + timeout.min(route.timeout),
+            max_reply_bytes: route.max_reply_bytes(),
             is_answered: AtomicBool::new(false),
         };
         Self {
--- a/crates/relay/src/target_attempt.rs
+++ b/crates/relay/src/target_attempt.rs
@@ -19,6 +19,7 @@
 use vanillapick_dispatch::attempt::SendCommand;
 use vanillapick_dispatch::target_state::TargetState;
 
+use crate::kept_connection::ReplyLimits;
 use crate::relay_host::RelayHost;
 use crate::relay_host::RelayView;
 use crate::target_connections::CallError;
@@ -37,6 +38,8 @@
     pub(crate) request_id: HeaderValue,
     /// End of the caller's timeout, as time since the start of the process.
     pub(crate) deadline: Duration,
+    /// Size limit of a reply's body.
+    pub(crate) max_reply_bytes: usize,
     /// Whether the caller has its response, so that attempts which still wait for a connection are not sent.
     pub(crate) is_answered: AtomicBool,
 }
@@ -84,7 +87,9 @@
         let detail = Some("the target is not in the connection table".to_owned());
         return ended(AttemptOutcome::NotRun(NotRunCause::Unreachable), None, detail);
     };
-    let reply = connections.call(|| request.call(&target), || host.now()).await;
+    let limits =
+        ReplyLimits { max_bytes: request.max_reply_bytes, memory: Arc::clone(&host.reply_memory) };
+    let reply = connections.call(|| request.call(&target), &limits, || host.now()).await;
     let (parts, body) = match reply {
         Ok(reply) => reply,
         Err(error) => {
--- a/crates/relay/src/target_connections.rs
+++ b/crates/relay/src/target_connections.rs
@@ -21,6 +21,7 @@
 use crate::kept_connection::CallBody;
 use crate::kept_connection::ExchangeError;
 use crate::kept_connection::KeptConnection;
+use crate::kept_connection::ReplyLimits;
 
 /// Connect timeout: several round trips between regions. A machine that is down never replies.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -116,6 +117,7 @@
     pub async fn call(
         &self,
         write: impl Fn() -> Option<Request<CallBody>>,
+        limits: &ReplyLimits,
         now: impl Fn() -> Duration,
     ) -> Result<(Parts, Bytes), CallError> {
         let Ok(_permit) = self.permits.acquire().await else {
@@ -134,7 +136,7 @@
                 self.put_idle(connection, &HeaderMap::new(), now()).await;
                 return Err(CallError::Withdrawn);
             };
-            match connection.exchange(request).await {
+            match connection.exchange(request, limits).await {
                 Ok((parts, body)) => {
                     self.put_idle(connection, &parts.headers, now()).await;
                     return Ok((parts, body));
--- a/crates/settings/src/relay_schema.rs
+++ b/crates/settings/src/relay_schema.rs
@@ -9,6 +9,7 @@
 
 const MACHINE: ValueSchema = ValueSchema::Record(&[
     optional("cores", ValueSchema::Integer { min: 1, max: 256 }),
+    optional("memory_mb", ValueSchema::Integer { min: 16, max: 1 << 20 }),
     optional("descriptors", ValueSchema::Integer { min: 64, max: u64::MAX }),
 ]);
 
--- a/crates/settings/src/relay_settings.rs
+++ b/crates/settings/src/relay_settings.rs
@@ -53,13 +53,15 @@
 pub struct MachineLimits {
     /// Number of processor cores.
     pub cores: u32,
+    /// Memory of the process in MiB.
+    pub memory_mb: u64,
     /// Maximum number of file descriptors that the process may open.
     pub descriptors: u64,
 }
 
 impl Default for MachineLimits {
     fn default() -> Self {
-        Self { cores: 1, descriptors: 1024 }
+        Self { cores: 1, memory_mb: 256, descriptors: 1024 }
     }
 }
 
