A group that is refused costs its owner a short backoff, and messages name their request

Cause: in 5 of 24 runs of the test other_hosts_gather_the_parts_of_a_search (six copies at a time) an owner refused a group because it was busy for 30 ms, and was left alone for 0.5 s like one that had failed; so were the others soon, and the host of the caller sent everything itself. A message with parts that were not asked for lost its group although no other host had been asked.

Change: a refusal costs 100 ms. A message names the request; one of another request, or with parts that were not asked for, counts as a failure of its sender, whose shards are sent again while the attempts allow it. The time that owners have ends with the deadline.

--- a/crates/dispatch/src/shard_groups.rs
+++ b/crates/dispatch/src/shard_groups.rs
@@ -28,6 +28,9 @@
 /// Backoff of an owner after its first failure in a row; it doubles with each further one.
 const MIN_OWNER_BACKOFF: Duration = Duration::from_millis(500);
 
+/// Backoff of an owner that refused a group because it is busy or leaves: short, because the others get its load meanwhile.
+pub const REFUSAL_BACKOFF: Duration = Duration::from_millis(100);
+
 /// Upper limit of the backoff of an owner.
 const MAX_OWNER_BACKOFF: Duration = Duration::from_secs(8);
 
--- a/crates/relay/src/part_peers.rs
+++ b/crates/relay/src/part_peers.rs
@@ -16,6 +16,7 @@
 use vanillapick_dispatch::host_record::HostId;
 use vanillapick_dispatch::serving_view::ServingView;
 use vanillapick_dispatch::shard_groups::OwnerState;
+use vanillapick_dispatch::shard_groups::REFUSAL_BACKOFF;
 use vanillapick_dispatch::shard_groups::owner_backoff;
 use vanillapick_policy::micros::micros;
 
@@ -114,6 +115,11 @@
         self.idle().clear();
     }
 
+    /// Excludes the host for a short while, because it refused a group.
+    pub(crate) fn record_refusal(&self, now: Duration) {
+        self.backoff_until_us.fetch_max(micros(now + REFUSAL_BACKOFF), Relaxed);
+    }
+
     /// An idle connection that can send a request.
     pub(crate) async fn take_idle(&self, now: Duration) -> Option<KeptConnection> {
         loop {
--- a/crates/relay/src/parts_client.rs
+++ b/crates/relay/src/parts_client.rs
@@ -38,6 +38,8 @@
 pub(crate) enum GroupFailure {
     /// No host has started on the group.
     NotStarted(String),
+    /// The host refused the group because it is busy, leaves or has another configuration.
+    Refused(StatusCode),
     /// The host may have sent attempts, at most one for each shard if no message has arrived.
     Lost(String),
 }
@@ -48,6 +50,7 @@
     connection: KeptConnection,
     body: Incoming,
     reader: MessageReader,
+    request_id: Bytes,
     _in_flight: GroupInFlight,
 }
 
@@ -59,6 +62,7 @@
     host: Arc<RelayHost>,
     view: Arc<RelayView>,
     group: ShardGroup,
+    request_id: Bytes,
     request: Bytes,
     timeout: Duration,
 ) -> GroupProgress {
@@ -71,7 +75,7 @@
         let Some(index) = pick_owner(&states, &mut host.rng()) else { break };
         let peer = Arc::clone(peers[index]);
         let left = ends_at.saturating_sub(host.now());
-        let asking = ask(&host, Arc::clone(&peer), request.clone());
+        let asking = ask(&host, Arc::clone(&peer), request_id.clone(), request.clone());
         let asked = tokio::time::timeout(left, asking).await;
         let asked = asked.unwrap_or_else(|_| Err(GroupFailure::Lost("no message in time".into())));
         match asked {
@@ -83,6 +87,10 @@
                 peer.record_failure(host.now());
                 detail = format!("{}: {reason}", peer.host);
             }
+            Err(GroupFailure::Refused(status)) => {
+                peer.record_refusal(host.now());
+                detail = format!("{}: refused with status {status}", peer.host);
+            }
             Err(GroupFailure::Lost(reason)) => {
                 peer.record_failure(host.now());
                 return Err(GroupFailure::Lost(format!("{}: {reason}", peer.host)));
@@ -102,7 +110,12 @@
     progress
 }
 
-async fn ask(host: &Arc<RelayHost>, peer: Arc<PartPeer>, request: Bytes) -> GroupProgress {
+async fn ask(
+    host: &Arc<RelayHost>,
+    peer: Arc<PartPeer>,
+    request_id: Bytes,
+    request: Bytes,
+) -> GroupProgress {
     let in_flight = peer.start_group();
     loop {
         let idle = peer.take_idle(host.now()).await;
@@ -120,8 +133,9 @@
             Err(ExchangeError::Lost(detail)) => return Err(GroupFailure::Lost(detail)),
         };
         if response.status() != StatusCode::OK {
-            let detail = format!("refused with status {}", response.status());
-            return Err(GroupFailure::NotStarted(detail));
+            let status = response.status();
+            peer.put_idle(connection, host.now()).await;
+            return Err(GroupFailure::Refused(status));
         }
         connection.allow(MAX_REPLY_BYTES);
         let call = GroupCall {
@@ -129,6 +143,7 @@
             connection,
             body: response.into_body(),
             reader: MessageReader::default(),
+            request_id,
             _in_flight: in_flight,
         };
         return next_message(host, call).await;
@@ -138,6 +153,9 @@
 async fn next_message(host: &Arc<RelayHost>, mut call: GroupCall) -> GroupProgress {
     loop {
         if let Some(message) = call.reader.next_message().map_err(GroupFailure::Lost)? {
+            if message.request_id != call.request_id {
+                return Err(GroupFailure::Lost("a message belongs to another request".into()));
+            }
             if !message.is_last {
                 return Ok((message, Some(call)));
             }
--- a/crates/relay/src/parts_server.rs
+++ b/crates/relay/src/parts_server.rs
@@ -325,6 +325,7 @@
             .collect();
         failed.iter().for_each(|shard| self.reported_failed[*shard] = true);
         let message = PartsMessage {
+            request_id: Bytes::copy_from_slice(self.request.request_id.as_bytes()),
             parts,
             records: greatest_records(&bodies, sharded.result_limit),
             failed: failed.into_iter().map(|shard| self.first_shard + shard).collect(),
--- a/crates/relay/src/parts_wire.rs
+++ b/crates/relay/src/parts_wire.rs
@@ -53,6 +53,8 @@
 /// Parts that a host has gathered since its last message.
 #[derive(Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct PartsMessage {
+    /// Request id of the search that the parts belong to.
+    pub request_id: Bytes,
     /// Shards that answered, as positions in the shard list of the route, with the stamps of their targets.
     pub parts: Vec<(usize, Bytes)>,
     /// Greatest records of these parts, as many as the route returns.
--- a/crates/relay/src/request_flow.rs
+++ b/crates/relay/src/request_flow.rs
@@ -351,7 +351,7 @@
             }
             let (request, times) = (&self.request, &self.times);
             let now = request.host.now();
-            let soft_left = times.soft_deadline.saturating_sub(now);
+            let soft_left = times.soft_deadline.min(times.deadline).saturating_sub(now);
             let asked = PartsRequest {
                 version: request.view.serving.version,
                 route: self.route.id.to_string(),
@@ -372,6 +372,7 @@
                 Arc::clone(&request.host),
                 Arc::clone(&request.view),
                 group,
+                asked.request_id,
                 Bytes::from(encoded),
                 owner_timeout(soft_left),
             );
@@ -380,69 +381,79 @@
     }
 
     fn on_progress(&mut self, number: usize, progress: GroupProgress) {
-        let now = self.request.host.now();
         let shards = self.groups[number].shards.clone();
-        match progress {
-            Ok((message, call)) => {
-                self.gathered.groups.insert(number);
-                let is_over = call.is_none();
-                if let Some(call) = call {
-                    let host = Arc::clone(&self.request.host);
-                    let next = async move { (number, continue_group(host, call).await) };
-                    self.gathering.push(Box::pin(next));
-                }
-                self.on_message(message, &shards);
-                if is_over {
-                    self.plan.abandon_gathered(shards);
+        let failure = match progress {
+            Ok((message, call)) => match self.read_stamps(&message, &shards) {
+                Some(stamps) => {
+                    let is_over = call.is_none();
+                    if let Some(call) = call {
+                        let host = Arc::clone(&self.request.host);
+                        let next = async move { (number, continue_group(host, call).await) };
+                        self.gathering.push(Box::pin(next));
+                    }
+                    self.gathered.groups.insert(number);
+                    self.on_message(message, stamps, &shards);
+                    if is_over {
+                        self.plan.abandon_gathered(shards);
+                    }
+                    return;
                 }
-            }
-            Err(GroupFailure::NotStarted(detail)) => {
-                count_group("not_started");
-                self.failures.push(format!("group {number}: {detail}"));
-                let commands = self.plan.take_back(shards, false, now, &mut self.rng);
-                self.send(commands);
-            }
-            Err(GroupFailure::Lost(detail)) => {
-                count_group("lost");
-                self.failures.push(format!("group {number}: {detail}"));
-                if self.gathered.groups.contains(&number) {
-                    self.plan.abandon_gathered(shards);
-                } else {
-                    let commands = self.plan.take_back(shards, true, now, &mut self.rng);
-                    self.send(commands);
-                }
-            }
+                None => GroupFailure::Lost("a message has parts that were not asked for".into()),
+            },
+            Err(failure) => failure,
+        };
+        let (label, may_have_run, detail) = match failure {
+            GroupFailure::NotStarted(detail) => ("not_started", false, detail),
+            GroupFailure::Refused(status) => ("refused", false, status.to_string()),
+            GroupFailure::Lost(detail) => ("lost", true, detail),
+        };
+        metrics::counter!("vanillapick_group_failures_total", "end" => label).increment(1);
+        self.failures.push(format!("group {number}: {detail}"));
+        if self.gathered.groups.contains(&number) {
+            self.plan.abandon_gathered(shards);
+            return;
         }
+        let now = self.request.host.now();
+        let commands = self.plan.take_back(shards, may_have_run, now, &mut self.rng);
+        self.send(commands);
     }
 
-    fn on_message(&mut self, message: PartsMessage, shards: &Range<usize>) {
+    /// Stamps of a message, if it has parts of shards that its sender was asked for, each once. Parts and records belong
+    /// together, so a message counts as a whole or not at all.
+    fn read_stamps(
+        &self,
+        message: &PartsMessage,
+        shards: &Range<usize>,
+    ) -> Option<Vec<HeaderValue>> {
+        let distinct: BTreeSet<usize> = message.parts.iter().map(|(shard, _)| *shard).collect();
+        let mut expected = distinct.iter().filter(|shard| shards.contains(*shard));
+        if expected.clone().count() < message.parts.len()
+            || !expected.all(|shard| self.plan.is_gathered(*shard))
+        {
+            return None;
+        }
+        let stamps = message.parts.iter().map(|(_, stamp)| stamp.clone());
+        stamps.map(|stamp| HeaderValue::from_maybe_shared(stamp).ok()).collect()
+    }
+
+    fn on_message(
+        &mut self,
+        message: PartsMessage,
+        stamps: Vec<HeaderValue>,
+        shards: &Range<usize>,
+    ) {
         if message.has_lost_target {
             self.record_crash_evidence(AttemptOutcome::Lost);
         }
         if !message.parts.is_empty() {
             self.record_crash_evidence(AttemptOutcome::Answered);
         }
-        for shard in message.failed.iter().filter(|shard| shards.contains(*shard)) {
-            self.plan.abandon_gathered(*shard..*shard + 1);
-        }
-        // Parts and records belong together, so a message counts as a whole or not at all.
-        let stamps: Option<Vec<HeaderValue>> = message
-            .parts
-            .iter()
-            .map(|(shard, stamp)| {
-                let is_expected = shards.contains(shard) && self.plan.is_gathered(*shard);
-                let stamp = HeaderValue::from_maybe_shared(stamp.clone()).ok();
-                stamp.filter(|_| is_expected)
-            })
-            .collect();
-        let distinct: BTreeSet<usize> = message.parts.iter().map(|(shard, _)| *shard).collect();
-        let Some(stamps) = stamps.filter(|stamps| stamps.len() == distinct.len()) else {
-            count_group("malformed");
-            return;
-        };
         for (shard, _) in &message.parts {
             self.plan.on_gathered(*shard);
         }
+        for shard in message.failed.iter().filter(|shard| shards.contains(*shard)) {
+            self.plan.abandon_gathered(*shard..*shard + 1);
+        }
         self.gathered.stamps.extend(stamps);
         self.gathered.records.push(message.records);
     }
@@ -589,10 +600,6 @@
     }
 }
 
-fn count_group(end: &'static str) {
-    metrics::counter!("vanillapick_group_failures_total", "end" => end).increment(1);
-}
-
 fn count_refusal(reason: &'static str) {
     metrics::counter!("vanillapick_refusals_total", "reason" => reason).increment(1);
 }
--- a/crates/relay/tests/parts_wire.rs
+++ b/crates/relay/tests/parts_wire.rs
@@ -6,6 +6,7 @@
 
 fn message(shard: usize, is_last: bool) -> PartsMessage {
     PartsMessage {
+        request_id: Bytes::from_static(b"a1"),
         parts: vec![(shard, Bytes::from_static(b"stamp"))],
         records: Bytes::from_static(b"0123456789abcdef"),
         failed: vec![7],
