Groups lie where the nearest targets of their shards are, and their owners have the slack of the retry budget

The owners were hosts of the caller's failure domain, so that half of the hosts paid for every call and part between failure domains. A group whose owner was silent was sent by the host of the caller, which had no budget either.

Change: a group has up to 30 shards whose nearest targets are in one failure domain, and its owners are hosts of that domain. Half of the slack is divided among the owners of a shard, the rest among all hosts. A silent owner is replaced by another one that is told of the attempt; after two nothing more is sent.

--- a/crates/dispatch/src/dispatch_plan.rs
+++ b/crates/dispatch/src/dispatch_plan.rs
@@ -1,6 +1,5 @@
 //! State machine of one request: first attempts, hedges, retries and the decision when to respond.
 
-use std::ops::Range;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,6 +10,7 @@
 use crate::attempt::NotRunCause;
 use crate::attempt::SendCause;
 use crate::attempt::SendCommand;
+use crate::config_document::DomainId;
 use crate::config_document::PoolId;
 use crate::config_document::RepeatRule;
 use crate::config_document::RouteContract;
@@ -19,6 +19,9 @@
 use crate::pool_state::RouteState;
 use crate::serving_view::PoolView;
 use crate::serving_view::ServingView;
+use crate::shard_groups::ShardGroup;
+use crate::shard_groups::owner_count;
+use crate::shard_groups::shard_groups;
 use crate::target_pick::PickContext;
 use crate::target_pick::expected_latency;
 use crate::target_pick::expected_latency_with_connect;
@@ -50,6 +53,9 @@
 /// deadline.
 const OVERLOAD_FACTOR: f64 = 1.0;
 
+/// Part of the slack of the retry budget for the owners of groups.
+const OWNERS_BUDGET_FRACTION: f64 = 0.5;
+
 /// Value of `version_draw` that selects the old version while a pool moves, so that a request which failed on the new
 /// version is retried on the old one.
 const OLD_VERSION_DRAW: f64 = 1.0;
@@ -118,6 +124,8 @@
     /// Random number from 0 to 1 that selects the version of a moving pool for all attempts of the request; set to
     /// [`OLD_VERSION_DRAW`] after a failed or lost attempt.
     version_draw: f64,
+    /// Part of the slack of each pool's retry budget that this plan may use.
+    budget_share: f64,
     is_closed: bool,
 }
 
@@ -184,20 +192,28 @@
         Self::with_shards(route, view, times, &pools, min_shards, skippable, rng)
     }
 
-    /// Plan of the shards in `range`, which another host asks for. It tells how many shards may be left out, and no minimum
-    /// applies here: the other host decides with the parts of all groups.
+    /// Plan of the shards at these positions, which another host asks for. No minimum applies here: the other host decides
+    /// with the parts of all groups. `prior_attempts` of each shard may have been made elsewhere.
     pub fn for_group(
         route: &Arc<RouteContract>,
         view: &Arc<ServingView>,
         times: RequestTimes,
-        range: Range<usize>,
+        shards: &[usize],
+        prior_attempts: u32,
         rng: &mut impl Rng,
     ) -> Option<Self> {
         let RoutePools::Sharded(sharded) = &route.pools else { return None };
-        let pools = sharded.pools.get(range)?;
+        let pools = shards.iter().map(|shard| sharded.pools.get(*shard).cloned());
+        let pools = pools.collect::<Option<Vec<PoolId>>>()?;
         let spare = sharded.pools.len() - sharded.min_shards().min(sharded.pools.len());
         let skippable = spare * pools.len() / sharded.pools.len().max(1);
-        Some(Self::with_shards(route, view, times, pools, 0, skippable, rng))
+        let mut plan = Self::with_shards(route, view, times, &pools, 0, skippable, rng);
+        plan.budget_share = retry_budget_share(view, true);
+        for state in &mut plan.shards {
+            state.sends = prior_attempts as usize;
+            state.executions = prior_attempts;
+        }
+        Some(plan)
     }
 
     fn with_shards(
@@ -222,6 +238,7 @@
             min_shards,
             skippable_shards,
             version_draw: rng.random(),
+            budget_share: retry_budget_share(view, false),
             is_closed: false,
         }
     }
@@ -232,7 +249,7 @@
     /// Shards in `groups` wait for [`Self::on_gathered`] if [`Self::is_gathered`] says so afterwards.
     pub fn start(
         &mut self,
-        groups: &[Range<usize>],
+        groups: &[ShardGroup],
         now: Duration,
         rng: &mut impl Rng,
     ) -> Vec<SendCommand> {
@@ -240,15 +257,20 @@
         if served < self.min_shards {
             return Vec::new();
         }
-        for shard in groups.iter().flat_map(Clone::clone) {
-            let state = &mut self.shards[shard];
+        for shard in groups.iter().flat_map(|group| &group.shards) {
+            let state = &mut self.shards[*shard];
             state.gathering = RemoteGathering::Waiting;
             state.sends = 1;
             state.executions = 1;
         }
-        let own: Vec<usize> =
-            (0..self.shards.len()).filter(|shard| !self.is_gathered(*shard)).collect();
-        self.send_first(&own, now, rng)
+        let own = (0..self.shards.len()).filter(|shard| !self.is_gathered(*shard));
+        let (first, repeated): (Vec<usize>, Vec<usize>) =
+            own.partition(|shard| self.shards[*shard].sends == 0);
+        let mut commands = self.send_first(&first, now, rng);
+        for shard in repeated {
+            commands.extend(self.retry(shard, SendCause::Failure, now, rng));
+        }
+        commands
     }
 
     /// Whether the shard waits for the host that gathers it.
@@ -266,25 +288,47 @@
         true
     }
 
-    /// Gives up the shards in `range` whose host has failed to gather them and may have used all attempts.
-    pub fn abandon_gathered(&mut self, range: Range<usize>) {
-        for state in &mut self.shards[range] {
+    /// Groups of shards to have gathered by other hosts than `own`, which is in `domain`.
+    pub fn choose_groups(&self, domain: &str, own: &str) -> Vec<ShardGroup> {
+        let RoutePools::Sharded(sharded) = &self.route.pools else { return Vec::new() };
+        if !self.is_idempotent() {
+            return Vec::new();
+        }
+        let homes: Vec<Option<&DomainId>> =
+            self.shards.iter().map(|shard| self.home_domain(shard)).collect();
+        shard_groups(&sharded.pools, &homes, domain, own, &self.view.part_hosts)
+    }
+
+    /// Failure domain of the nearest target of a shard; a host there may handle the request because the target may.
+    fn home_domain<'a>(&self, shard: &'a ShardState) -> Option<&'a DomainId> {
+        let targets = shard.pool.iter().flat_map(|pool| &pool.targets);
+        let allowed = targets.filter(|target| self.route.allows_region(target.region.as_ref()));
+        let nearest =
+            allowed.min_by_key(|target| (target.distance as usize, &target.record.domain));
+        nearest.map(|target| &target.record.domain)
+    }
+
+    /// Gives up shards whose host has failed to gather them and may have used all attempts.
+    pub fn abandon_gathered(&mut self, shards: &[usize]) {
+        for shard in shards {
+            let state = &mut self.shards[*shard];
             if state.gathering == RemoteGathering::Waiting {
                 state.gathering = RemoteGathering::None;
             }
         }
     }
 
-    /// Sends the shards in `range` from this host, because the host that should gather them has failed. If it may have sent
-    /// them, it has used at most one attempt of each.
+    /// Sends shards from this host, because the host that should gather them has failed. If it may have sent them, it has used
+    /// at most one attempt of each.
     pub fn take_back(
         &mut self,
-        range: Range<usize>,
+        shards: &[usize],
         may_have_run: bool,
         now: Duration,
         rng: &mut impl Rng,
     ) -> Vec<SendCommand> {
-        let waiting: Vec<usize> = range.filter(|shard| self.is_gathered(*shard)).collect();
+        let waiting: Vec<usize> =
+            shards.iter().copied().filter(|shard| self.is_gathered(*shard)).collect();
         for shard in &waiting {
             let state = &mut self.shards[*shard];
             state.gathering = RemoteGathering::None;
@@ -621,7 +665,7 @@
         let pool = state.pool.as_ref()?;
         let is_first = state.sends == 0;
         if !is_first
-            && !pool.state.retry_budget.try_take(&self.view.retry_limits, self.view.host_count, now)
+            && !pool.state.retry_budget.try_take(&self.view.retry_limits, self.budget_share, now)
         {
             return None;
         }
@@ -737,6 +781,20 @@
     }
 }
 
+/// Part of the slack of a pool's retry budget for a plan of this host.
+///
+/// Few hosts gather the parts of a shard, and those send nearly all of its attempts. So half of the slack is divided among
+/// its owners, unless there are as many owners as hosts; the rest is for searches that are not gathered by an owner.
+fn retry_budget_share(view: &ServingView, is_group: bool) -> f64 {
+    let (hosts, owners) = (view.host_count as f64, owner_count(&view.part_hosts) as f64);
+    if hosts <= owners || view.part_hosts.is_empty() {
+        return 1.0 / hosts;
+    }
+    let share = OWNERS_BUDGET_FRACTION / owners;
+    let rest = (1.0 - OWNERS_BUDGET_FRACTION) / hosts;
+    if is_group { rest + share } else { rest }
+}
+
 impl ShardState {
     fn new(pool: Option<Arc<PoolView>>) -> Self {
         Self {
--- a/crates/dispatch/src/registry.rs
+++ b/crates/dispatch/src/registry.rs
@@ -4,7 +4,6 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -21,6 +20,7 @@
 use crate::route_table::RouteTable;
 use crate::serving_view::PoolView;
 use crate::serving_view::ServingView;
+use crate::shard_groups::PartHosts;
 use crate::target_record::TargetId;
 use crate::target_record::TargetRecord;
 use crate::target_state::TargetDistance;
@@ -315,12 +315,14 @@
         })
     }
 
-    /// Hosts of this failure domain that gather parts of searches, with their addresses for that.
-    fn part_hosts(&self) -> BTreeMap<HostId, SocketAddr> {
-        let domain = self.hosts.iter().filter(|(_, record)| {
-            record.domain.as_ref().is_some_and(|domain| **domain == *self.location.domain)
-        });
-        domain.filter_map(|(host, record)| Some((host.clone(), record.parts_address?))).collect()
+    fn part_hosts(&self) -> PartHosts {
+        let mut hosts = PartHosts::new();
+        for (host, record) in &self.hosts {
+            if let (Some(domain), Some(address)) = (&record.domain, record.parts_address) {
+                hosts.entry(domain.clone()).or_default().insert(HostId::clone(host), address);
+            }
+        }
+        hosts
     }
 
     fn apply_target(&mut self, record: TargetRecord, now: Duration) -> bool {
--- a/crates/dispatch/src/retry_budget.rs
+++ b/crates/dispatch/src/retry_budget.rs
@@ -49,16 +49,16 @@
         self.with_window(limits, now, |window| window.current().requests += 1);
     }
 
-    /// Takes one hedge or retry from the budget; returns false if it is exhausted. The slack is divided among `hosts`
-    /// live hosts.
-    pub fn try_take(&self, limits: &RetryBudgetLimits, hosts: usize, now: Duration) -> bool {
+    /// Takes one hedge or retry from the budget; returns false if it is exhausted. `share` is this host's part of the slack,
+    /// from 0 to 1.
+    pub fn try_take(&self, limits: &RetryBudgetLimits, share: f64, now: Duration) -> bool {
         self.with_window(limits, now, |window| {
             let oldest = window.newest.wrapping_add(1) as usize % (BUCKETS + 1);
             let all = window.buckets.iter().enumerate();
             let requests: u32 =
                 all.filter(|(index, _)| *index != oldest).map(|(_, bucket)| bucket.requests).sum();
             let extras: u32 = window.buckets.iter().map(|bucket| bucket.extras).sum();
-            let limit = limits.ratio * f64::from(requests) + limits.slack / hosts.max(1) as f64;
+            let limit = limits.ratio * f64::from(requests) + limits.slack * share;
             if f64::from(extras + 1) > limit * USED_FRACTION {
                 return false;
             }
--- a/crates/dispatch/src/serving_view.rs
+++ b/crates/dispatch/src/serving_view.rs
@@ -1,19 +1,17 @@
 //! Immutable view of configuration and targets that requests are served from; updates replace it as a whole.
 
-use std::collections::BTreeMap;
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 
 use crate::config_document::CallerLimits;
 use crate::config_document::ConfigVersion;
 use crate::config_document::PoolContract;
 use crate::config_document::PoolId;
-use crate::host_record::HostId;
 use crate::pool_state::PoolState;
 use crate::pool_state::RouteState;
 use crate::retry_budget::RetryBudgetLimits;
 use crate::route_table::RouteTable;
+use crate::shard_groups::PartHosts;
 use crate::target_state::TargetState;
 use crate::version_split::VersionSplit;
 
@@ -29,8 +27,8 @@
     pub limits: CallerLimits,
     /// Number of hosts that share the limits of targets, including this one; at least 1.
     pub host_count: usize,
-    /// Hosts of this failure domain that gather parts of searches, including this one, with their addresses for that.
-    pub part_hosts: BTreeMap<HostId, SocketAddr>,
+    /// Hosts that gather parts of searches, including this one.
+    pub part_hosts: PartHosts,
     pub retry_limits: RetryBudgetLimits,
 }
 
--- a/crates/dispatch/src/shard_groups.rs
+++ b/crates/dispatch/src/shard_groups.rs
@@ -1,26 +1,37 @@
-//! Divides the shards of a search among the hosts of a failure domain, which gather their parts side by side.
+//! Divides the shards of a search among hosts near their targets, which gather their parts side by side.
 //!
-//! A search over hundreds of shards costs one host so much processor time that a slow processor alone makes it late. The
-//! hosts of its failure domain are mostly idle meanwhile. Owners of a group are chosen by hash, so that each host keeps its
-//! connections to the targets of few shards and finds them open.
+//! A search over hundreds of shards costs one host so much processor time that a slow processor alone makes it late, while
+//! other hosts are idle. Of the parts of shards whose targets are far away, only the greatest records are needed, so a host
+//! near those targets saves most of the bytes. Owners of a group are chosen by hash, so that each host keeps its connections
+//! to the targets of few shards and finds them open.
 
-use std::ops::Range;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use rand::Rng;
 use xxhash_rust::xxh3::Xxh3;
 
+use crate::config_document::DomainId;
 use crate::config_document::PoolId;
 use crate::host_record::HostId;
 
-/// Number of shards from which a search is divided.
-const MIN_GROUPED_SHARDS: usize = 60;
+/// Hosts that gather parts, with their addresses for that, by failure domain.
+pub type PartHosts = BTreeMap<DomainId, BTreeMap<HostId, SocketAddr>>;
 
-/// Approximate number of shards in a group. Smaller groups gain less than their messages cost.
+/// Number of shards from which a search is divided among the hosts of this failure domain.
+const MIN_DIVIDED_SHARDS: usize = 60;
+
+/// Minimum number of other hosts in this failure domain to divide a search among them. With fewer, one that fails loses too
+/// large a part of each search.
+const MIN_DIVIDING_HOSTS: usize = 6;
+
+/// Maximum number of shards in a group, about as many as a slow processor sends within a short latency objective.
 const GROUP_SHARDS: usize = 30;
 
-/// Minimum number of other hosts that gather parts. With fewer, one that fails loses too large a part of each search.
-const MIN_GROUP_HOSTS: usize = 6;
+/// Minimum number of shards in a group whose targets are in another failure domain. Smaller groups save fewer bytes than
+/// the delay by one more host costs.
+const MIN_DISTANT_SHARDS: usize = 12;
 
 /// Number of hosts that own a group: enough to share its load and to replace one that fails.
 const OWNERS: usize = 3;
@@ -40,11 +51,11 @@
 /// Part of the time to the soft deadline after which an owner counts as failed; the rest is for other attempts.
 const OWNER_TIMEOUT_FRACTION: f64 = 0.55;
 
-/// Consecutive shards of a search that one host gathers.
+/// Shards of a search that one host gathers.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ShardGroup {
-    /// Positions in the shard list of the route; never empty.
-    pub shards: Range<usize>,
+    /// Increasing positions in the shard list of the route; never empty.
+    pub shards: Vec<usize>,
     /// Hosts that own the group, by decreasing rank; the same on all hosts that know the same hosts.
     pub owners: Vec<HostId>,
 }
@@ -58,19 +69,38 @@
     pub in_flight: usize,
 }
 
-/// Groups of a search over `pools`, gathered by `hosts`; empty if the search should not be divided.
-pub fn shard_groups(pools: &[PoolId], hosts: &[HostId]) -> Vec<ShardGroup> {
-    if pools.len() < MIN_GROUPED_SHARDS || hosts.len() < MIN_GROUP_HOSTS {
-        return Vec::new();
+/// Groups of a search over `pools` that other hosts than `own` gather. `homes` has the failure domain of the nearest target
+/// of each shard, and `domain` is that of this host.
+pub fn shard_groups(
+    pools: &[PoolId],
+    homes: &[Option<&DomainId>],
+    domain: &str,
+    own: &str,
+    hosts: &PartHosts,
+) -> Vec<ShardGroup> {
+    let blocks = pools.len().div_ceil(GROUP_SHARDS);
+    let mut groups: BTreeMap<(usize, &DomainId), Vec<usize>> = BTreeMap::new();
+    for (shard, home) in homes.iter().enumerate() {
+        if let Some(home) = home {
+            groups.entry((shard * blocks / pools.len(), home)).or_default().push(shard);
+        }
     }
-    let count = pools.len().div_ceil(GROUP_SHARDS);
-    (0..count)
-        .map(|group| {
-            let shards = group * pools.len() / count..(group + 1) * pools.len() / count;
-            let owners = rank_owners(&pools[shards.start], hosts);
-            ShardGroup { shards, owners }
-        })
-        .collect()
+    let usable = groups.into_iter().filter_map(|((_, home), shards)| {
+        let hosts: Vec<&HostId> = hosts.get(home)?.keys().filter(|host| &***host != own).collect();
+        let is_worth_it = if **home == *domain {
+            MIN_DIVIDED_SHARDS <= pools.len() && MIN_DIVIDING_HOSTS <= hosts.len()
+        } else {
+            MIN_DISTANT_SHARDS <= shards.len() && !hosts.is_empty()
+        };
+        let owners = rank_owners(&pools[shards[0]], &hosts);
+        is_worth_it.then_some(ShardGroup { shards, owners })
+    });
+    usable.collect()
+}
+
+/// Number of hosts that own the group of one shard, over all failure domains; at least 1.
+pub fn owner_count(hosts: &PartHosts) -> usize {
+    hosts.values().map(|hosts| hosts.len().min(OWNERS)).sum::<usize>().max(1)
 }
 
 /// Owner to ask, of those of one group: the one with the least to do; `None` if all of them failed lately.
@@ -98,9 +128,10 @@
     left.mul_f64(OWNER_TIMEOUT_FRACTION)
 }
 
-fn rank_owners(first_pool: &PoolId, hosts: &[HostId]) -> Vec<HostId> {
+fn rank_owners(first_pool: &PoolId, hosts: &[&HostId]) -> Vec<HostId> {
     let mut ranked: Vec<(u64, &HostId)> = hosts
         .iter()
+        .copied()
         .map(|host| {
             let mut hasher = Xxh3::new();
             hasher.update(first_pool.as_bytes());
--- a/crates/dispatch/tests/retry_budget.rs
+++ b/crates/dispatch/tests/retry_budget.rs
@@ -41,7 +41,7 @@
                     budget.record_request(&BUDGET, now);
                     requests.push(now);
                 }
-                BudgetEvent::Extra if budget.try_take(&BUDGET, 6, now) => extras.push(now),
+                BudgetEvent::Extra if budget.try_take(&BUDGET, 1.0 / 6.0, now) => extras.push(now),
                 BudgetEvent::Extra => {}
             }
         }
@@ -59,7 +59,7 @@
 #[test]
 fn the_slack_is_available_again_after_a_window() {
     let budget = RetryBudget::default();
-    let take_all = |now| (0..100).filter(|_| budget.try_take(&BUDGET, 6, now)).count();
+    let take_all = |now| (0..100).filter(|_| budget.try_take(&BUDGET, 1.0 / 6.0, now)).count();
     let at_start = take_all(Duration::from_secs(1));
     let soon = take_all(Duration::from_secs(2));
     let later = take_all(Duration::from_secs(12));
--- a/crates/relay/src/part_peers.rs
+++ b/crates/relay/src/part_peers.rs
@@ -22,8 +22,8 @@
 
 use crate::kept_connection::KeptConnection;
 
-/// Connect timeout. The host is in the same failure domain.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(50);
+/// Connect timeout: a round trip between regions and some delay of a busy host.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(60);
 
 /// Time for which an idle connection is kept, shorter than the receiver keeps it.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
@@ -61,7 +61,7 @@
 impl PartPeerTable {
     /// Builds the table of the hosts in `view` other than `own`. A host whose address has not changed keeps its state.
     pub(crate) fn renewed(&self, view: &ServingView, own: &str) -> Self {
-        let hosts = view.part_hosts.iter().filter(|(host, _)| &***host != own);
+        let hosts = view.part_hosts.values().flatten().filter(|(host, _)| &***host != own);
         let peers = hosts.map(|(host, address)| {
             let known = self.peers.get(host).filter(|known| known.address == *address);
             let peer = known.map_or_else(|| Arc::new(PartPeer::new(host, *address)), Arc::clone);
@@ -70,9 +70,9 @@
         Self { peers: peers.collect() }
     }
 
-    /// Ids of all hosts, in no order.
-    pub(crate) fn hosts(&self) -> Vec<HostId> {
-        self.peers.keys().cloned().collect()
+    /// Number of hosts.
+    pub(crate) fn len(&self) -> usize {
+        self.peers.len()
     }
 
     pub(crate) fn get(&self, host: &HostId) -> Option<&Arc<PartPeer>> {
--- a/crates/relay/src/parts_client.rs
+++ b/crates/relay/src/parts_client.rs
@@ -11,7 +11,7 @@
 use hyper::body::Incoming;
 use hyper::header::HOST;
 use hyper::header::HeaderValue;
-use vanillapick_dispatch::shard_groups::ShardGroup;
+use vanillapick_dispatch::host_record::HostId;
 use vanillapick_dispatch::shard_groups::pick_owner;
 
 use crate::kept_connection::ExchangeError;
@@ -21,10 +21,11 @@
 use crate::parts_wire::MessageReader;
 use crate::parts_wire::PARTS_PATH;
 use crate::parts_wire::PartsMessage;
+use crate::parts_wire::PartsRequest;
 use crate::relay_host::RelayHost;
 use crate::relay_host::RelayView;
 
-/// Number of owners that are asked in turn if one refuses a group or cannot be reached.
+/// Number of owners that are asked in turn if one fails.
 const MAX_OWNERS_ASKED: usize = 2;
 
 /// Size limit of all messages of a group.
@@ -40,8 +41,10 @@
     NotStarted(String),
     /// The host refused the group because it is busy, leaves or has another configuration.
     Refused(StatusCode),
-    /// The host may have sent attempts, at most one for each shard if no message has arrived.
+    /// A host may have sent attempts, at most one for each shard if no message has arrived.
     Lost(String),
+    /// Two hosts in turn may have sent attempts.
+    Exhausted(String),
 }
 
 /// A group whose host has sent a message that was not the last one.
@@ -57,47 +60,54 @@
 /// Next message of a group, and the call if more follow.
 pub(crate) type GroupProgress = Result<(PartsMessage, Option<GroupCall>), GroupFailure>;
 
-/// Asks an owner of a group for its parts and waits for the first message. The owner counts as failed after `timeout`.
+/// Asks an owner of a group for its parts and waits for the first message. An owner without one after `timeout` counts as
+/// failed, and another one is asked, which has an attempt less for each shard.
 pub(crate) async fn start_group(
     host: Arc<RelayHost>,
     view: Arc<RelayView>,
-    group: ShardGroup,
-    request_id: Bytes,
-    request: Bytes,
+    owners: Vec<HostId>,
+    mut request: PartsRequest,
     timeout: Duration,
 ) -> GroupProgress {
-    let mut detail = "all owners failed lately".to_owned();
-    let ends_at = host.now() + timeout;
+    let mut last = GroupFailure::NotStarted("all owners failed lately".to_owned());
+    let mut asked_at = host.now();
+    let ends_at = asked_at + request.left;
     for _ in 0..MAX_OWNERS_ASKED {
         let peers: Vec<&Arc<PartPeer>> =
-            group.owners.iter().filter_map(|owner| view.part_peers.get(owner)).collect();
+            owners.iter().filter_map(|owner| view.part_peers.get(owner)).collect();
         let states: Vec<_> = peers.iter().map(|peer| peer.state(host.now())).collect();
         let Some(index) = pick_owner(&states, &mut host.rng()) else { break };
         let peer = Arc::clone(peers[index]);
-        let left = ends_at.saturating_sub(host.now());
-        let asking = ask(&host, Arc::clone(&peer), request_id.clone(), request.clone());
-        let asked = tokio::time::timeout(left, asking).await;
+        let now = host.now();
+        let encoded = request.encode(now.saturating_sub(asked_at));
+        asked_at = now;
+        let encoded = encoded.map_err(GroupFailure::NotStarted)?;
+        let left = ends_at.saturating_sub(now);
+        let wait = if request.prior_attempts == 0 { timeout.min(left) } else { left };
+        let asking = ask(&host, Arc::clone(&peer), request.request_id.clone(), encoded);
+        let asked = tokio::time::timeout(wait, asking).await;
         let asked = asked.unwrap_or_else(|_| Err(GroupFailure::Lost("no message in time".into())));
-        match asked {
+        let failure = match asked {
             Ok(progress) => {
                 peer.record_success();
                 return Ok(progress);
             }
-            Err(GroupFailure::NotStarted(reason)) => {
-                peer.record_failure(host.now());
-                detail = format!("{}: {reason}", peer.host);
-            }
-            Err(GroupFailure::Refused(status)) => {
-                peer.record_refusal(host.now());
-                detail = format!("{}: refused with status {status}", peer.host);
-            }
-            Err(GroupFailure::Lost(reason)) => {
-                peer.record_failure(host.now());
-                return Err(GroupFailure::Lost(format!("{}: {reason}", peer.host)));
-            }
+            Err(failure) => failure,
+        };
+        match failure {
+            GroupFailure::Refused(_) => peer.record_refusal(host.now()),
+            _ => peer.record_failure(host.now()),
+        }
+        tracing::debug!(host = &*peer.host, ?failure, "a host does not gather a group");
+        if request.prior_attempts > 0 {
+            return Err(GroupFailure::Exhausted(format!("{}: {failure:?}", peer.host)));
+        }
+        if matches!(failure, GroupFailure::Lost(_)) {
+            request.prior_attempts = 1;
         }
+        last = failure;
     }
-    Err(GroupFailure::NotStarted(detail))
+    Err(last)
 }
 
 /// Waits for the next message of a group.
--- a/crates/relay/src/parts_server.rs
+++ b/crates/relay/src/parts_server.rs
@@ -169,8 +169,8 @@
     plan: DispatchPlan,
     times: RequestTimes,
     first_message: Duration,
-    first_shard: usize,
-    shard_count: usize,
+    /// Positions of the shards of the plan in the shard list of the route.
+    shards: Vec<usize>,
     rng: SmallRng,
     attempts: FuturesUnordered<BoxFuture<'static, AttemptResult>>,
     /// Parts that are in no message yet: shard within the group, stamp and records.
@@ -191,9 +191,8 @@
             deadline: now + asked.left,
         };
         let mut rng = host.rng();
-        let shards = asked.first_shard..asked.end_shard;
-        let shard_count = shards.len();
-        let plan = DispatchPlan::for_group(&route, &view.serving, times, shards, &mut rng)?;
+        let (shards, prior) = (&asked.shards, asked.prior_attempts);
+        let plan = DispatchPlan::for_group(&route, &view.serving, times, shards, prior, &mut rng)?;
         let request = ForwardedRequest {
             host: Arc::clone(host),
             view,
@@ -212,12 +211,11 @@
             plan,
             times,
             first_message: now + asked.first_message,
-            first_shard: asked.first_shard,
-            shard_count,
+            reported_failed: vec![false; asked.shards.len()],
+            shards: asked.shards,
             rng,
             attempts: FuturesUnordered::new(),
             gathered: Vec::new(),
-            reported_failed: vec![false; shard_count],
             has_sent_message: false,
             has_lost_target: false,
         })
@@ -317,10 +315,10 @@
         let gathered = std::mem::take(&mut self.gathered);
         let bodies: Vec<Bytes> = gathered.iter().map(|(_, _, body)| body.clone()).collect();
         let parts = gathered.into_iter().map(|(shard, stamp, _)| {
-            (self.first_shard + shard, Bytes::copy_from_slice(stamp.as_bytes()))
+            (self.shards[shard], Bytes::copy_from_slice(stamp.as_bytes()))
         });
         let parts = parts.collect();
-        let failed: Vec<usize> = (0..self.shard_count)
+        let failed: Vec<usize> = (0..self.shards.len())
             .filter(|shard| !self.reported_failed[*shard] && self.plan.has_failed(*shard))
             .collect();
         failed.iter().for_each(|shard| self.reported_failed[*shard] = true);
@@ -328,7 +326,7 @@
             request_id: Bytes::copy_from_slice(self.request.request_id.as_bytes()),
             parts,
             records: greatest_records(&bodies, sharded.result_limit),
-            failed: failed.into_iter().map(|shard| self.first_shard + shard).collect(),
+            failed: failed.into_iter().map(|shard| self.shards[shard]).collect(),
             has_lost_target: self.has_lost_target,
             is_last,
         };
--- a/crates/relay/src/parts_wire.rs
+++ b/crates/relay/src/parts_wire.rs
@@ -31,9 +31,10 @@
     /// Configuration in force at the sender; the receiver refuses if its own is another.
     pub(crate) version: ConfigVersion,
     pub(crate) route: String,
-    /// First shard and the one after the last, as positions in the shard list of the route.
-    pub(crate) first_shard: usize,
-    pub(crate) end_shard: usize,
+    /// Increasing positions in the shard list of the route.
+    pub(crate) shards: Vec<usize>,
+    /// Attempts that an earlier owner may have made for each shard.
+    pub(crate) prior_attempts: u32,
     /// Time until the first message is due.
     pub(crate) first_message: Duration,
     /// Time until the soft deadline of the search.
@@ -50,6 +51,18 @@
     pub(crate) body: Bytes,
 }
 
+impl PartsRequest {
+    /// Encodes the request as it is `elapsed` after its times were set.
+    pub(crate) fn encode(&mut self, elapsed: Duration) -> Result<Bytes, String> {
+        let times =
+            [&mut self.first_message, &mut self.soft_left, &mut self.left, &mut self.caller_left];
+        for time in times {
+            *time = time.saturating_sub(elapsed);
+        }
+        rmp_serde::to_vec(self).map(Bytes::from).map_err(|error| error.to_string())
+    }
+}
+
 /// Parts that a host has gathered since its last message.
 #[derive(Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct PartsMessage {
--- a/crates/relay/src/relay_host.rs
+++ b/crates/relay/src/relay_host.rs
@@ -173,7 +173,7 @@
 
     /// Number of other hosts that gather parts of searches for this one.
     pub fn part_host_count(&self) -> usize {
-        self.view.load().as_ref().map_or(0, |view| view.part_peers.hosts().len())
+        self.view.load().as_ref().map_or(0, |view| view.part_peers.len())
     }
 
     /// Number of attempts sent so far, for its own requests and for other hosts.
--- a/crates/relay/src/request_flow.rs
+++ b/crates/relay/src/request_flow.rs
@@ -1,7 +1,6 @@
 //! Handles one request of a caller: routing, admission, attempts at targets and the response.
 
 use std::collections::BTreeSet;
-use std::ops::Range;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering::Relaxed;
@@ -25,7 +24,6 @@
 use vanillapick_dispatch::admission::admit;
 use vanillapick_dispatch::attempt::AttemptOutcome;
 use vanillapick_dispatch::attempt::SendCommand;
-use vanillapick_dispatch::config_document::RegionId;
 use vanillapick_dispatch::config_document::RouteContract;
 use vanillapick_dispatch::config_document::RoutePools;
 use vanillapick_dispatch::crash_guard::RequestFingerprint;
@@ -37,7 +35,6 @@
 use vanillapick_dispatch::shard_groups::ShardGroup;
 use vanillapick_dispatch::shard_groups::first_message_due;
 use vanillapick_dispatch::shard_groups::owner_timeout;
-use vanillapick_dispatch::shard_groups::shard_groups;
 use vanillapick_dispatch::unknown_route::UnknownRoute;
 use vanillapick_dispatch::unknown_route::refuse_unknown_route;
 
@@ -303,9 +300,8 @@
     async fn run(mut self, running: RunningRequest) -> Response<ResponseBody> {
         let host = Arc::clone(&self.request.host);
         let cancel_guard = CancelGuard::new(&host, &self.request.request_id, &self.route);
-        self.groups = self.choose_groups();
-        let groups: Vec<_> = self.groups.iter().map(|group| group.shards.clone()).collect();
-        let commands = self.plan.start(&groups, host.now(), &mut self.rng);
+        self.groups = self.plan.choose_groups(&host.settings.domain, &host.settings.host);
+        let commands = self.plan.start(&self.groups, host.now(), &mut self.rng);
         self.send(commands);
         self.send_groups();
         let verdict = loop {
@@ -331,22 +327,10 @@
         response
     }
 
-    /// Groups of shards to have gathered by other hosts; none if this host sends all attempts itself.
-    fn choose_groups(&self) -> Vec<ShardGroup> {
-        let RoutePools::Sharded(sharded) = &self.route.pools else { return Vec::new() };
-        let (host, view) = (&self.request.host, &self.request.view);
-        let region = host.settings.regions.get(&host.settings.domain);
-        let region = region.map(|region| RegionId::from(region.as_str()));
-        if !self.plan.is_idempotent() || !self.route.allows_region(region.as_ref()) {
-            return Vec::new();
-        }
-        shard_groups(&sharded.pools, &view.part_peers.hosts())
-    }
-
     fn send_groups(&mut self) {
         for number in 0..self.groups.len() {
             let group = self.groups[number].clone();
-            if !self.plan.is_gathered(group.shards.start) {
+            if !self.plan.is_gathered(group.shards[0]) {
                 continue;
             }
             let (request, times) = (&self.request, &self.times);
@@ -355,8 +339,8 @@
             let asked = PartsRequest {
                 version: request.view.serving.version,
                 route: self.route.id.to_string(),
-                first_shard: group.shards.start,
-                end_shard: group.shards.end,
+                prior_attempts: 0,
+                shards: group.shards.clone(),
                 first_message: first_message_due(soft_left),
                 soft_left,
                 left: times.deadline.saturating_sub(now),
@@ -367,13 +351,11 @@
                 headers: encode_headers(&request.headers),
                 body: request.body.clone(),
             };
-            let encoded = rmp_serde::to_vec(&asked).expect("strings and bytes are serializable");
             let starting = start_group(
                 Arc::clone(&request.host),
                 Arc::clone(&request.view),
-                group,
-                asked.request_id,
-                Bytes::from(encoded),
+                group.owners,
+                asked,
                 owner_timeout(soft_left),
             );
             self.gathering.push(Box::pin(async move { (number, starting.await) }));
@@ -394,7 +376,7 @@
                     self.gathered.groups.insert(number);
                     self.on_message(message, stamps, &shards);
                     if is_over {
-                        self.plan.abandon_gathered(shards);
+                        self.plan.abandon_gathered(&shards);
                     }
                     return;
                 }
@@ -406,27 +388,24 @@
             GroupFailure::NotStarted(detail) => ("not_started", false, detail),
             GroupFailure::Refused(status) => ("refused", false, status.to_string()),
             GroupFailure::Lost(detail) => ("lost", true, detail),
+            GroupFailure::Exhausted(detail) => ("exhausted", true, detail),
         };
         metrics::counter!("vanillapick_group_failures_total", "end" => label).increment(1);
         self.failures.push(format!("group {number}: {detail}"));
-        if self.gathered.groups.contains(&number) {
-            self.plan.abandon_gathered(shards);
+        if label == "exhausted" || self.gathered.groups.contains(&number) {
+            self.plan.abandon_gathered(&shards);
             return;
         }
         let now = self.request.host.now();
-        let commands = self.plan.take_back(shards, may_have_run, now, &mut self.rng);
+        let commands = self.plan.take_back(&shards, may_have_run, now, &mut self.rng);
         self.send(commands);
     }
 
     /// Stamps of a message, if it has parts of shards that its sender was asked for, each once. Parts and records belong
     /// together, so a message counts as a whole or not at all.
-    fn read_stamps(
-        &self,
-        message: &PartsMessage,
-        shards: &Range<usize>,
-    ) -> Option<Vec<HeaderValue>> {
+    fn read_stamps(&self, message: &PartsMessage, shards: &[usize]) -> Option<Vec<HeaderValue>> {
         let distinct: BTreeSet<usize> = message.parts.iter().map(|(shard, _)| *shard).collect();
-        let mut expected = distinct.iter().filter(|shard| shards.contains(*shard));
+        let mut expected = distinct.iter().filter(|shard| shards.contains(shard));
         if expected.clone().count() < message.parts.len()
             || !expected.all(|shard| self.plan.is_gathered(*shard))
         {
@@ -436,12 +415,7 @@
         stamps.map(|stamp| HeaderValue::from_maybe_shared(stamp).ok()).collect()
     }
 
-    fn on_message(
-        &mut self,
-        message: PartsMessage,
-        stamps: Vec<HeaderValue>,
-        shards: &Range<usize>,
-    ) {
+    fn on_message(&mut self, message: PartsMessage, stamps: Vec<HeaderValue>, shards: &[usize]) {
         if message.has_lost_target {
             self.record_crash_evidence(AttemptOutcome::Lost);
         }
@@ -451,9 +425,9 @@
         for (shard, _) in &message.parts {
             self.plan.on_gathered(*shard);
         }
-        for shard in message.failed.iter().filter(|shard| shards.contains(*shard)) {
-            self.plan.abandon_gathered(*shard..*shard + 1);
-        }
+        let failed: Vec<usize> =
+            message.failed.into_iter().filter(|shard| shards.contains(shard)).collect();
+        self.plan.abandon_gathered(&failed);
         self.gathered.stamps.extend(stamps);
         self.gathered.records.push(message.records);
     }
