--- a/crates/relay/src/request_flow.rs
+++ b/crates/relay/src/request_flow.rs
@@ -86,8 +86,8 @@
 /// Retry-after time of a request that crashes targets.
 const CRASHING_REQUEST_RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// Retry-after time while the host has no configuration.
-const NO_CONFIG_RETRY_AFTER: Duration = Duration::from_millis(200);
+/// Retry-after time while the host has no configuration: about the rest of its start.
+const NO_CONFIG_RETRY_AFTER: Duration = Duration::from_millis(400);
 
 type RunningAttempts = FuturesUnordered<BoxFuture<'static, AttemptResult>>;
 
--- a/crates/relay/src/store_follower.rs
+++ b/crates/relay/src/store_follower.rs
@@ -53,6 +53,10 @@
 /// Maximum delay between calls while the store is unreachable.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(800);
 
+/// Delay of the first list when the whole system starts. The hosts have registered by then, so that those of a failure
+/// domain share a watch from the first one on; otherwise each pays for one of its own.
+const INITIAL_LIST_DELAY: Duration = Duration::from_millis(700);
+
 /// Continues with the next watch without a delay.
 const WATCH_NOW: FollowStep = FollowStep::Watch(Duration::ZERO);
 
@@ -76,6 +80,9 @@
         sources,
         requires_store: false,
     };
+    if follower.host.settings.initial_start {
+        tokio::time::sleep(INITIAL_LIST_DELAY).await;
+    }
     loop {
         let step = match follower.revision {
             None => follower.list().await,
--- a/crates/settings/src/relay_schema.rs
+++ b/crates/settings/src/relay_schema.rs
@@ -19,7 +19,7 @@
     optional("extra_window_s", ValueSchema::NonNegative),
 ]);
 
-static FIELDS: [FieldSchema; 13] = [
+static FIELDS: [FieldSchema; 14] = [
     required("host", ValueSchema::Name),
     required("domain", ValueSchema::Name),
     required("regions", ValueSchema::Map(&ValueSchema::Name)),
@@ -30,6 +30,7 @@
     optional("peers", REMOTE_ADDRESS),
     optional("parts", REMOTE_ADDRESS),
     required("store", REMOTE_ADDRESS),
+    optional("initial_start", ValueSchema::Boolean),
     optional("machine", MACHINE),
     optional("limits", LIMITS),
     optional("change_time_ms", ValueSchema::Integer { min: 100, max: 600_000 }),
--- a/crates/settings/src/relay_settings.rs
+++ b/crates/settings/src/relay_settings.rs
@@ -33,6 +33,9 @@
     pub parts: Option<SocketAddr>,
     /// Address of the platform's store.
     pub store: SocketAddr,
+    /// Whether the whole system starts for the first time, so that no caller waits for this host yet.
+    #[serde(default)]
+    pub initial_start: bool,
     /// Resources of the machine that runs the host.
     #[serde(default)]
     pub machine: MachineLimits,
