--- a/crates/dispatch/src/route_table.rs
+++ b/crates/dispatch/src/route_table.rs
@@ -25,7 +25,7 @@
         Self { hosts }
     }
 
-    /// Route with this id.
+    /// Finds a route by its id in the configuration, as another host names it.
     pub fn get(&self, id: &str) -> Option<&Arc<RouteContract>> {
         self.hosts.values().flatten().find(|route| *route.id == *id)
     }
--- a/crates/relay/src/reply_memory.rs
+++ b/crates/relay/src/reply_memory.rs
@@ -28,7 +28,7 @@
     counted: usize,
 }
 
-/// Body of a reply with its memory.
+/// Keeps the reservation alive as long as any copy of the bytes.
 struct ReservedBody {
     body: Bytes,
     _reservation: ReplyReservation,
@@ -41,7 +41,7 @@
 }
 
 impl ReplyMemory {
-    /// Memory for replies on a machine with `machine_bytes` of memory.
+    /// Takes a fixed part of the machine's memory, given in bytes, as the limit.
     pub fn new(machine_bytes: u64) -> Arc<Self> {
         let limit = (machine_bytes as f64 * MEMORY_FRACTION) as usize;
         Arc::new(Self { limit, used: AtomicUsize::new(0) })
