A silent owner whose replacement refuses leaves an attempt for the host of the caller

Cause: after one owner had been silent, any failure of the next one counted as if it had sent attempts too, and the shards of the group were given up; read in the code. Test that failed before: a_silent_owner_is_replaced_although_the_others_refuse (502). Now only a second silent owner ends the group.

--- a/crates/relay/src/parts_client.rs
+++ b/crates/relay/src/parts_client.rs
@@ -99,13 +99,14 @@
             _ => peer.record_failure(host.now()),
         }
         tracing::debug!(host = &*peer.host, ?failure, "a host does not gather a group");
-        if request.prior_attempts > 0 {
-            return Err(GroupFailure::Exhausted(format!("{}: {failure:?}", peer.host)));
-        }
-        if matches!(failure, GroupFailure::Lost(_)) {
-            request.prior_attempts = 1;
-        }
-        last = failure;
+        let is_lost = matches!(failure, GroupFailure::Lost(_));
+        let detail = format!("{}: {failure:?}", peer.host);
+        last = match (request.prior_attempts, is_lost) {
+            (0, false) => failure,
+            (0, true) | (_, false) => GroupFailure::Lost(detail),
+            (_, true) => return Err(GroupFailure::Exhausted(detail)),
+        };
+        request.prior_attempts |= u32::from(is_lost);
     }
     Err(last)
 }
