--- a/crates/entry/src/target_client.rs
+++ b/crates/entry/src/target_client.rs
@@ -30,8 +30,8 @@
 use crate::target_link::ClientPurpose;
 use crate::target_link::TargetLink;
 
-/// Size limit of a target's reply. A target in trouble may send bytes without end.
-const MAX_REPLY_BYTES: usize = 8 << 20;
+/// Size limit of a target's reply, above any document that targets hold. A target in trouble may send bytes without end.
+const MAX_REPLY_BYTES: usize = 64 << 20;
 
 /// Size limit of replies that carry marks or nothing.
 const MAX_STATUS_BYTES: usize = 64 << 10;
