An owner waits after its first message before it sends second attempts

An owner on a slow host sent its calls 13 to 30 ms after the caller had its answer; the host of the caller had given it up and had asked another one. A message precedes second attempts, but nothing made sure that someone still listened: second attempts left in the same moment as the message, whether the connection was closed or not.

Change: second attempts wait for 5 ms after the first message, 40 ms between regions, and are withdrawn if the connection has closed by then; the host of the caller reads a message that has arrived when its timer fires.

--- a/crates/dispatch/src/shard_groups.rs
+++ b/crates/dispatch/src/shard_groups.rs
@@ -51,9 +51,17 @@
 /// Part of the time to the soft deadline after which an owner counts as failed; the rest is for other attempts.
 const OWNER_TIMEOUT_FRACTION: f64 = 0.55;
 
+/// Confirmation time of owners in the region of the caller's host.
+const NEAR_CONFIRMATION: Duration = Duration::from_millis(5);
+
+/// Confirmation time of owners in other regions.
+const REMOTE_CONFIRMATION: Duration = Duration::from_millis(40);
+
 /// Shards of a search that one host gathers.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ShardGroup {
+    /// Failure domain of the owners.
+    pub domain: DomainId,
     /// Increasing positions in the shard list of the route; never empty.
     pub shards: Vec<usize>,
     /// Hosts that own the group, by decreasing rank; the same on all hosts that know the same hosts.
@@ -93,7 +101,7 @@
             MIN_DISTANT_SHARDS <= shards.len() && !hosts.is_empty()
         };
         let owners = rank_owners(&pools[shards[0]], &hosts);
-        is_worth_it.then_some(ShardGroup { shards, owners })
+        is_worth_it.then(|| ShardGroup { domain: home.clone(), shards, owners })
     });
     usable.collect()
 }
@@ -123,6 +131,11 @@
     left.mul_f64(FIRST_MESSAGE_FRACTION)
 }
 
+/// Time from an owner's first message until it may send second attempts: a round trip, and some time of a busy host.
+pub fn confirmation_time(is_same_region: bool) -> Duration {
+    if is_same_region { NEAR_CONFIRMATION } else { REMOTE_CONFIRMATION }
+}
+
 /// Time from now after which an owner without a first message counts as failed.
 pub fn owner_timeout(left: Duration) -> Duration {
     left.mul_f64(OWNER_TIMEOUT_FRACTION)
--- a/crates/dispatch/tests/group_plan.rs
+++ b/crates/dispatch/tests/group_plan.rs
@@ -27,7 +27,7 @@
 use vanillapick_dispatch::shard_groups::ShardGroup;
 
 fn group(shards: &[usize]) -> ShardGroup {
-    ShardGroup { shards: shards.into(), owners: Vec::new() }
+    ShardGroup { domain: "a".into(), shards: shards.into(), owners: Vec::new() }
 }
 
 fn describe(commands: &[SendCommand]) -> Vec<String> {
--- a/crates/relay/src/parts_client.rs
+++ b/crates/relay/src/parts_client.rs
@@ -28,6 +28,10 @@
 /// Number of owners that are asked in turn if one fails.
 const MAX_OWNERS_ASKED: usize = 2;
 
+/// Time after the timeout of an owner in which a message that has arrived is still read; shorter than the owner waits
+/// before it sends second attempts.
+const READ_GRACE: Duration = Duration::from_millis(1);
+
 /// Size limit of all messages of a group.
 const MAX_REPLY_BYTES: usize = 4 << 20;
 
@@ -85,7 +89,12 @@
         let left = ends_at.saturating_sub(now);
         let wait = if request.prior_attempts == 0 { timeout.min(left) } else { left };
         let asking = ask(&host, Arc::clone(&peer), request.request_id.clone(), encoded);
-        let asked = tokio::time::timeout(wait, asking).await;
+        let mut asking = std::pin::pin!(asking);
+        let mut asked = tokio::time::timeout(wait, asking.as_mut()).await;
+        if asked.is_err() {
+            // A late event loop finds the timer and a message that has arrived at the same time.
+            asked = tokio::time::timeout(READ_GRACE, asking).await;
+        }
         let asked = asked.unwrap_or_else(|_| Err(GroupFailure::Lost("no message in time".into())));
         let failure = match asked {
             Ok(progress) => {
--- a/crates/relay/src/parts_server.rs
+++ b/crates/relay/src/parts_server.rs
@@ -30,6 +30,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use vanillapick_dispatch::attempt::AttemptOutcome;
+use vanillapick_dispatch::attempt::NotRunCause;
 use vanillapick_dispatch::attempt::SendCommand;
 use vanillapick_dispatch::config_document::RouteContract;
 use vanillapick_dispatch::config_document::RoutePools;
@@ -177,7 +178,11 @@
     gathered: Vec<(usize, HeaderValue, Bytes)>,
     /// Shards within the group that were reported as failed.
     reported_failed: Vec<bool>,
-    has_sent_message: bool,
+    /// When the first message was sent.
+    first_sent: Option<Duration>,
+    confirm_after: Duration,
+    /// Second attempts that wait until the sender of the request may have closed the connection.
+    held: Vec<SendCommand>,
     has_lost_target: bool,
 }
 
@@ -216,7 +221,9 @@
             rng,
             attempts: FuturesUnordered::new(),
             gathered: Vec::new(),
-            has_sent_message: false,
+            first_sent: None,
+            confirm_after: asked.confirm_after,
+            held: Vec::new(),
             has_lost_target: false,
         })
     }
@@ -230,11 +237,14 @@
             if self.plan.open_count() == 0 || self.times.deadline <= now {
                 break true;
             }
-            let mut wake = self.plan.next_wake(now);
-            if !self.has_sent_message {
-                wake = wake.min(self.first_message);
-            }
+            let wake = match self.confirmed_at() {
+                None => self.plan.next_wake(now).min(self.first_message),
+                Some(at) if now < at => at,
+                Some(_) => self.plan.next_wake(now),
+            };
             tokio::select! {
+                biased;
+                () = messages.closed() => break false,
                 Some(result) = self.attempts.next() => {
                     if !self.on_result(result, &messages).await {
                         break false;
@@ -245,7 +255,6 @@
                         break false;
                     }
                 }
-                () = messages.closed() => break false,
             }
         };
         if has_receiver {
@@ -286,31 +295,45 @@
             self.gathered.push((shard, stamp, reply.body));
         }
         // The sender counts on a message before any second attempt.
-        let is_due = command.is_some() && !self.has_sent_message;
+        let is_due = command.is_some() && self.first_sent.is_none();
         let is_late = self.times.soft_deadline <= now && !self.gathered.is_empty();
         if (is_due || is_late) && !self.send_message(messages, false).await {
             return false;
         }
-        self.send(command);
+        if self.confirmed_at().is_some_and(|at| at <= now) {
+            self.send(command);
+        } else {
+            self.held.extend(command);
+        }
         true
     }
 
+    /// Time from which second attempts may be sent; `None` before the first message.
+    fn confirmed_at(&self) -> Option<Duration> {
+        self.first_sent.map(|sent| sent + self.confirm_after)
+    }
+
     /// Sends the message and the hedges that are due; returns whether the sender of the request still listens.
     async fn on_wake(&mut self, messages: &mpsc::Sender<Bytes>) -> bool {
         let now = self.request.host.now();
         let is_soft_deadline = self.times.soft_deadline <= now && !self.gathered.is_empty();
-        if (!self.has_sent_message || is_soft_deadline) && !self.send_message(messages, false).await
+        if (self.first_sent.is_none() || is_soft_deadline)
+            && !self.send_message(messages, false).await
         {
             return false;
         }
-        let commands = self.plan.on_wake(now, &mut self.rng);
-        self.send(commands);
+        if self.confirmed_at().is_some_and(|at| at <= now) {
+            let held = std::mem::take(&mut self.held);
+            self.send(held);
+            let commands = self.plan.on_wake(now, &mut self.rng);
+            self.send(commands);
+        }
         true
     }
 
     /// Sends what was gathered since the last message; returns whether the sender of the request still listens.
     async fn send_message(&mut self, messages: &mpsc::Sender<Bytes>, is_last: bool) -> bool {
-        self.has_sent_message = true;
+        self.first_sent.get_or_insert(self.request.host.now());
         let RoutePools::Sharded(sharded) = &self.route.pools else { return false };
         let gathered = std::mem::take(&mut self.gathered);
         let bodies: Vec<Bytes> = gathered.iter().map(|(_, _, body)| body.clone()).collect();
@@ -341,10 +364,15 @@
 
     /// Lets attempts that are no longer needed finish within a grace period, so that their connections can be reused.
     async fn drain(mut self) {
+        self.plan.close();
+        let now = self.request.host.now();
+        for command in std::mem::take(&mut self.held) {
+            let withdrawn = AttemptOutcome::NotRun(NotRunCause::Withdrawn);
+            self.plan.on_outcome(command.attempt, withdrawn, now, &mut self.rng);
+        }
         if self.attempts.is_empty() {
             return;
         }
-        self.plan.close();
         self.request.is_answered.store(true, Relaxed);
         let host = Arc::clone(&self.request.host);
         let rest = async {
--- a/crates/relay/src/parts_wire.rs
+++ b/crates/relay/src/parts_wire.rs
@@ -35,6 +35,9 @@
     pub(crate) shards: Vec<usize>,
     /// Attempts that an earlier owner may have made for each shard.
     pub(crate) prior_attempts: u32,
+    /// Time from the first message until second attempts may be sent. If the sender has given the receiver up meanwhile, its
+    /// close of the connection has arrived by then.
+    pub(crate) confirm_after: Duration,
     /// Time until the first message is due.
     pub(crate) first_message: Duration,
     /// Time until the soft deadline of the search.
--- a/crates/relay/src/request_flow/group_flow.rs
+++ b/crates/relay/src/request_flow/group_flow.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use hyper::header::HeaderValue;
 use vanillapick_dispatch::attempt::AttemptOutcome;
+use vanillapick_dispatch::shard_groups::confirmation_time;
 use vanillapick_dispatch::shard_groups::first_message_due;
 use vanillapick_dispatch::shard_groups::owner_timeout;
 
@@ -38,12 +39,16 @@
             }
             let (request, times) = (&self.request, &self.times);
             let now = request.host.now();
+            let settings = &request.host.settings;
+            let regions = &settings.regions;
+            let is_same_region = regions.get(&*group.domain) == regions.get(&settings.domain);
             let soft_left = times.soft_deadline.min(times.deadline).saturating_sub(now);
             let asked = PartsRequest {
                 version: request.view.serving.version,
                 route: self.route.id.to_string(),
                 prior_attempts: 0,
                 shards: group.shards.clone(),
+                confirm_after: confirmation_time(is_same_region),
                 first_message: first_message_due(soft_left),
                 soft_left,
                 left: times.deadline.saturating_sub(now),
