Held second attempts leave with the first result after the wait, not only with the next wake

Read in the code: a result that came between the end of the wait and its timer left them held until the next hedge was due.

--- a/crates/relay/src/parts_server.rs
+++ b/crates/relay/src/parts_server.rs
@@ -300,14 +300,21 @@
         if (is_due || is_late) && !self.send_message(messages, false).await {
             return false;
         }
-        if self.confirmed_at().is_some_and(|at| at <= now) {
-            self.send(command);
-        } else {
-            self.held.extend(command);
-        }
+        self.held.extend(command);
+        self.send_held(now);
         true
     }
 
+    /// Sends the second attempts that were held, if they may be sent by now; returns whether they may.
+    fn send_held(&mut self, now: Duration) -> bool {
+        let is_confirmed = self.confirmed_at().is_some_and(|at| at <= now);
+        if is_confirmed {
+            let held = std::mem::take(&mut self.held);
+            self.send(held);
+        }
+        is_confirmed
+    }
+
     /// Time from which second attempts may be sent; `None` before the first message.
     fn confirmed_at(&self) -> Option<Duration> {
         self.first_sent.map(|sent| sent + self.confirm_after)
@@ -322,9 +329,7 @@
         {
             return false;
         }
-        if self.confirmed_at().is_some_and(|at| at <= now) {
-            let held = std::mem::take(&mut self.held);
-            self.send(held);
+        if self.send_held(now) {
             let commands = self.plan.on_wake(now, &mut self.rng);
             self.send(commands);
         }
