Hosts log and count items that they ignore, and log the store's era

Cause: the log could not tell apart the hypotheses of the incident: an item that is not above the known revision of its key was dropped without a line, and nothing read the header that tells a restored store from one that lost its history.

Change: the adapter reads the era from the headers of replies; pages carry it. Ignored items with another value have a line and a counter. Nothing decides by either yet.

--- a/crates/relay/src/change_log.rs
+++ b/crates/relay/src/change_log.rs
@@ -146,7 +146,7 @@
             later.filter_map(|(_, key)| state.items.get(key)).cloned().collect()
         };
         let revision = (*self.revision.borrow()).max(after);
-        let page = StorePage { items, revision, has_more: false };
+        let page = StorePage { items, revision, has_more: false, era: 0 };
         let now = clock();
         let expiry_grace_left = state.expiry_grace_until.saturating_sub(now);
         let has_store = now < state.confirmed_until;
@@ -166,13 +166,28 @@
     }
 }
 
+/// Logs an item that has another value than the known one, whose revision is not lower.
+fn log_ignored(item: &StoreItem, known: &StoreItem) {
+    if item.value == known.value {
+        return;
+    }
+    metrics::counter!("vanillapick_store_items_ignored_total").increment(1);
+    tracing::info!(
+        key = item.key,
+        revision = item.revision,
+        known = known.revision,
+        "item ignored: a later one is known"
+    );
+}
+
 impl ItemCopy {
     /// Applies items that are newer than the known ones and returns them.
     fn merge(&mut self, items: &[StoreItem]) -> Vec<StoreItem> {
         let mut changes = Vec::new();
         for item in items {
             let known = self.items.get(&item.key);
-            if known.is_some_and(|known| item.revision <= known.revision) {
+            if let Some(known) = known.filter(|known| item.revision <= known.revision) {
+                log_ignored(item, known);
                 continue;
             }
             if let Some(known) = self.items.insert(item.key.clone(), item.clone()) {
--- a/crates/relay/src/relay_server.rs
+++ b/crates/relay/src/relay_server.rs
@@ -49,7 +49,7 @@
         let registry = StoreRegistry::new(host_location(&settings), retry_budget_limits(&settings));
         let lease = Arc::clone(registry.host_lease());
         let transport = StoreTransport::new(settings.store, STORE_TIMEOUT);
-        let store = StoreClient::new(transport, STORE_TIMEOUT);
+        let store = StoreClient::new(transport, STORE_TIMEOUT, &wire.store);
         let (host, fingerprints) = RelayHost::new(settings, wire);
         let listener = listen(&host)?;
         let address = listener.local_addr()?;
--- a/crates/relay/src/store_client.rs
+++ b/crates/relay/src/store_client.rs
@@ -6,18 +6,24 @@
 use derive_more::Display;
 use derive_more::Error;
 use derive_more::From;
+use hyper::HeaderMap;
 use hyper::StatusCode;
 use vanillapick_platform::error::PlatformError;
 use vanillapick_platform::transport::PlatformReply;
 use vanillapick_platform::transport::StoreTransport;
 
 use crate::wire::StoreCall;
+use crate::wire::StoreEra;
+use crate::wire::StorePage;
+use crate::wire::StoreWire;
 
 /// Client of the store, or of a peer that answers some of its calls.
 #[derive(Clone, Debug)]
 pub struct StoreClient {
     transport: StoreTransport,
     timeout: Duration,
+    /// Reads the era from the headers of a reply.
+    read_era: fn(&HeaderMap) -> Result<StoreEra, String>,
     /// Label of the call counter: `store` or `peer`.
     callee: &'static str,
 }
@@ -46,13 +52,14 @@
 
 impl StoreClient {
     /// `timeout` applies to each call; for a watch it starts at the end of the requested wait.
-    pub fn new(transport: StoreTransport, timeout: Duration) -> Self {
-        Self { transport, timeout, callee: "store" }
+    pub fn new(transport: StoreTransport, timeout: Duration, wire: &StoreWire) -> Self {
+        Self { transport, timeout, read_era: wire.read_era, callee: "store" }
     }
 
     /// Client of a peer host, which answers some of the store's calls.
     pub fn for_peer(&self, address: SocketAddr, timeout: Duration) -> Self {
-        Self { transport: self.transport.with_address(address), timeout, callee: "peer" }
+        let transport = self.transport.with_address(address);
+        Self { transport, timeout, read_era: self.read_era, callee: "peer" }
     }
 
     /// Sends a call whose reply the store may delay by up to `wait`.
@@ -78,8 +85,32 @@
         wait: Duration,
         read: fn(&[u8]) -> Result<T, String>,
     ) -> Result<T, StoreError> {
+        self.read_in_era(call, wait, read).await.map(|(content, _)| content)
+    }
+
+    /// Like [`Self::read`]; also returns the era in which the store replied.
+    pub async fn read_in_era<T>(
+        &self,
+        call: StoreCall,
+        wait: Duration,
+        read: fn(&[u8]) -> Result<T, String>,
+    ) -> Result<(T, StoreEra), StoreError> {
         let reply = self.send(call, wait).await?;
-        read(&reply.body).map_err(|detail| StoreError::Malformed { detail })
+        let malformed = |detail| StoreError::Malformed { detail };
+        let era = (self.read_era)(&reply.headers).map_err(malformed)?;
+        let content = read(&reply.body).map_err(malformed)?;
+        Ok((content, era))
+    }
+
+    /// Sends a call and decodes the page in its reply, with its era.
+    pub async fn read_page(
+        &self,
+        call: StoreCall,
+        wait: Duration,
+        read: fn(&[u8]) -> Result<StorePage, String>,
+    ) -> Result<StorePage, StoreError> {
+        let (page, era) = self.read_in_era(call, wait, read).await?;
+        Ok(StorePage { era, ..page })
     }
 }
 
--- a/crates/relay/src/store_follower.rs
+++ b/crates/relay/src/store_follower.rs
@@ -121,7 +121,7 @@
         let mut after: Option<String> = None;
         loop {
             let call = (wire.list)(after.as_deref());
-            let page = self.store.read(call, Duration::ZERO, wire.read_list).await?;
+            let page = self.store.read_page(call, Duration::ZERO, wire.read_list).await?;
             // The pages are not one snapshot, so the watch starts at the revision of the first page.
             let revision = *first_revision.get_or_insert(page.revision);
             after = page.items.last().map(|item| item.key.clone());
@@ -129,7 +129,7 @@
             if !page.has_more || after.is_none() {
                 self.on_store_reply(self.host.now());
                 self.confirm_store();
-                tracing::info!(revision, items = items.len(), "store listed");
+                tracing::info!(era = page.era, revision, items = items.len(), "store listed");
                 self.apply_complete(&items, revision);
                 return Ok(WATCH_NOW);
             }
@@ -163,7 +163,8 @@
     /// configuration until it has read everything else.
     async fn read_orders(&mut self) -> Result<(), StoreError> {
         let wire = self.host.wire.store;
-        let page = self.store.read((wire.list_orders)(), Duration::ZERO, wire.read_list).await?;
+        let page =
+            self.store.read_page((wire.list_orders)(), Duration::ZERO, wire.read_list).await?;
         if page.has_more {
             // Without all documents, a removal cannot be told from a document on the next page.
             return Ok(());
@@ -272,7 +273,7 @@
             ChangeSource::Store => {
                 let (store, call) = (self.store.clone(), (wire.watch)(revision, WATCH_WAIT));
                 Box::pin(async move {
-                    let page = store.read(call, WATCH_WAIT, wire.read_watch).await?;
+                    let page = store.read_page(call, WATCH_WAIT, wire.read_watch).await?;
                     Ok(PeerChanges {
                         page,
                         expiry_grace_left: Duration::ZERO,
--- a/crates/relay/src/wire.rs
+++ b/crates/relay/src/wire.rs
@@ -99,9 +99,11 @@
 /// Calls to the store and their replies.
 #[derive(Clone, Copy, Debug)]
 pub struct StoreWire {
+    /// Reads the era from the headers of any reply; 0 if the store names none.
+    pub read_era: fn(&HeaderMap) -> Result<StoreEra, String>,
     /// Lists one page of all items, starting after a key.
     pub list: fn(Option<&str>) -> StoreCall,
-    /// Decodes a page of a list.
+    /// Decodes a page of a list; its era is in the headers.
     pub read_list: fn(&[u8]) -> Result<StorePage, String>,
     /// Lists the operators' documents alone.
     pub list_orders: fn() -> StoreCall,
@@ -109,7 +111,7 @@
     pub orders_prefix: &'static str,
     /// Waits for changes after a revision.
     pub watch: fn(StoreRevision, Duration) -> StoreCall,
-    /// Decodes the changes that a watch returned.
+    /// Decodes the changes that a watch returned; their era is in the headers.
     pub read_watch: fn(&[u8]) -> Result<StorePage, String>,
     /// Asks for the store's revision, which may be seconds old; cheaper than any other call.
     pub check: fn() -> StoreCall,
@@ -136,6 +138,10 @@
 /// Position in the store's history of changes; increases with every write.
 pub type StoreRevision = u64;
 
+/// Number of times that the store was restored from an earlier copy of its contents. Revisions and leases are valid within
+/// an era only: the next one gives out again what was given out after the copy was made.
+pub type StoreEra = u64;
+
 /// Identifies a lease in later calls of the store.
 pub type LeaseId = u64;
 
@@ -158,6 +164,9 @@
     pub revision: StoreRevision,
     /// Whether another page follows.
     pub has_more: bool,
+    /// Era of `revision` and of the revisions of `items`.
+    #[serde(default)]
+    pub era: StoreEra,
 }
 
 /// An item of the store, or its removal.
