Changes of a restored store are not compared with revisions of the era before

Cause: a store that is restored from a copy gives out revisions again. The copy of the items kept the higher revision of the lost history, so that the next change of each key that was written shortly before the restore was taken for an old one. Besides, a watch from a revision that the store has passed again gets no 410, and skips what was written below it.

Change: revisions are valid within an era, which the store's replies name. A follower that sees a later era, in a watch, a check or a list, lists all items; the list replaces the copy, whatever the revisions. Replies of an earlier era are ignored. Peers name the era of the position that they ask from, and get all items if theirs is an earlier one, and none from a host that has not listed the later one. Hosts of the version before name none and are answered as before.

--- a/crates/relay/src/change_log.rs
+++ b/crates/relay/src/change_log.rs
@@ -11,8 +11,10 @@
 use serde::Serialize;
 use tokio::sync::watch;
 
+use crate::wire::StoreEra;
 use crate::wire::StoreItem;
 use crate::wire::StorePage;
+use crate::wire::StorePosition;
 use crate::wire::StoreRevision;
 
 /// Number of removed keys that are remembered. A host that lacks an earlier removal receives all items instead.
@@ -24,12 +26,14 @@
 #[derive(Debug)]
 pub struct ChangeLog {
     state: Mutex<ItemCopy>,
-    /// Revision up to which changes are known; 0 before the first list.
-    revision: watch::Sender<StoreRevision>,
+    /// Position up to which changes are known; revision 0 before the first list.
+    position: watch::Sender<StorePosition>,
 }
 
 #[derive(Debug, Default)]
 struct ItemCopy {
+    /// Era of all revisions.
+    era: StoreEra,
     /// Latest change of each key, including removals after `base`.
     items: BTreeMap<String, StoreItem>,
     /// Keys of `items` by the revision of their latest change.
@@ -62,34 +66,42 @@
 
 impl Default for ChangeLog {
     fn default() -> Self {
-        Self { state: Mutex::default(), revision: watch::Sender::new(0) }
+        Self { state: Mutex::default(), position: watch::Sender::default() }
     }
 }
 
 impl ChangeLog {
-    /// Applies a list of all items at `revision`. Known items that it lacks count as removed, unless they are newer.
-    pub fn apply_list(&self, listed: &[StoreItem], revision: StoreRevision) {
+    /// Applies a list of all items at `position`. Known items that it lacks count as removed, unless they are newer; a list of
+    /// a later era replaces everything. One of an earlier era is ignored.
+    pub fn apply_list(&self, listed: &[StoreItem], position: StorePosition) {
         let mut state = self.lock();
-        if state.base == 0 {
-            state.base = revision;
+        if position.era < state.era {
+            return;
         }
-        state.remove_unlisted("", listed, revision);
+        if state.base == 0 || state.era < position.era {
+            state.start_era(position);
+        }
+        state.remove_unlisted("", listed, position.revision);
         state.merge(listed);
         drop(state);
-        self.advance(revision);
+        self.advance(position);
     }
 
-    /// Applies a list of all items whose keys begin with `prefix` at `revision`. Returns the changes that it revealed.
+    /// Applies a list of all items whose keys begin with `prefix` at `position`. Returns the changes that it revealed; none if
+    /// it is of another era.
     ///
-    /// The known revision stays, because changes of other keys may be missing.
+    /// The known position stays, because changes of other keys may be missing.
     pub fn apply_prefix(
         &self,
         prefix: &str,
         listed: &[StoreItem],
-        revision: StoreRevision,
+        position: StorePosition,
     ) -> Vec<StoreItem> {
         let mut state = self.lock();
-        let mut changes = state.remove_unlisted(prefix, listed, revision);
+        if position.era != state.era {
+            return Vec::new();
+        }
+        let mut changes = state.remove_unlisted(prefix, listed, position.revision);
         changes.extend(state.merge(listed));
         changes
     }
@@ -114,49 +126,60 @@
         self.lock().expiry_grace_until = until;
     }
 
-    /// Applies all changes between the known revision and `revision`; returns those that are newer than the known items.
-    pub fn append(&self, items: &[StoreItem], revision: StoreRevision) -> Vec<StoreItem> {
-        let changes = self.lock().merge(items);
-        self.advance(revision);
+    /// Applies all changes between the known position and `position`; returns those that are newer than the known items.
+    /// Changes of another era are ignored.
+    pub fn append(&self, items: &[StoreItem], position: StorePosition) -> Vec<StoreItem> {
+        let mut state = self.lock();
+        if position.era != state.era {
+            return Vec::new();
+        }
+        let changes = state.merge(items);
+        drop(state);
+        self.advance(position);
         changes
     }
 
-    /// Returns the changes after a revision as soon as there are any, or an empty page after `wait`; all items if removals
-    /// after that revision are forgotten. Returns `None` before the first list. `clock` returns the time since the start of
-    /// the process.
+    /// Era of the known items; 0 before the first list.
+    pub fn era(&self) -> StoreEra {
+        self.lock().era
+    }
+
+    /// Returns the changes after a position as soon as there are any, or an empty page after `wait`; all items if the position
+    /// is of an earlier era or removals after it are forgotten. Returns `None` before the first list of the position's era.
+    /// `clock` returns the time since the start of the process.
     pub async fn changes_after(
         &self,
-        after: StoreRevision,
+        after: StorePosition,
         wait: Duration,
         clock: impl Fn() -> Duration,
     ) -> Option<PeerChanges> {
-        let mut revision = self.revision.subscribe();
-        let changed = revision.wait_for(|revision| after < *revision);
+        let mut position = self.position.subscribe();
+        let changed = position.wait_for(|position| after < *position);
         // A timeout and the end of the process both result in an empty page.
         let _ = tokio::time::timeout(wait, changed).await;
         let state = self.lock();
-        if state.base == 0 {
+        if state.base == 0 || state.era < after.era {
             return None;
         }
-        let is_complete = after < state.base;
+        let is_complete = after.era < state.era || after.revision < state.base;
         let items = if is_complete {
             state.items.values().filter(|item| item.value.is_some()).cloned().collect()
         } else {
-            let later = state.order.range((after + 1, String::new())..);
+            let later = state.order.range((after.revision + 1, String::new())..);
             later.filter_map(|(_, key)| state.items.get(key)).cloned().collect()
         };
-        let revision = (*self.revision.borrow()).max(after);
-        let page = StorePage { items, revision, has_more: false, era: 0 };
+        let StorePosition { era, revision } = (*self.position.borrow()).max(after);
+        let page = StorePage { items, revision, has_more: false, era };
         let now = clock();
         let expiry_grace_left = state.expiry_grace_until.saturating_sub(now);
         let has_store = now < state.confirmed_until;
         Some(PeerChanges { page, expiry_grace_left, has_store, is_complete })
     }
 
-    fn advance(&self, revision: StoreRevision) {
-        self.revision.send_if_modified(|known| {
-            let is_newer = *known < revision;
-            *known = revision.max(*known);
+    fn advance(&self, position: StorePosition) {
+        self.position.send_if_modified(|known| {
+            let is_newer = *known < position;
+            *known = position.max(*known);
             is_newer
         });
     }
@@ -181,6 +204,15 @@
 }
 
 impl ItemCopy {
+    /// Forgets all items, whose revisions mean nothing in the new era.
+    fn start_era(&mut self, position: StorePosition) {
+        self.era = position.era;
+        self.base = position.revision;
+        self.items.clear();
+        self.order.clear();
+        self.removals = 0;
+    }
+
     /// Applies items that are newer than the known ones and returns them.
     fn merge(&mut self, items: &[StoreItem]) -> Vec<StoreItem> {
         let mut changes = Vec::new();
--- a/crates/relay/src/peer_changes.rs
+++ b/crates/relay/src/peer_changes.rs
@@ -1,7 +1,7 @@
 //! Exchange of store changes between hosts of a failure domain: the client call and the endpoint.
 //!
-//! `GET /changes?after=REVISION` replies with [`PeerChanges`] in MessagePack as soon as the host knows later changes, with
-//! an empty one after [`PEER_WAIT`], and with status 410 if the changes are no longer in its log.
+//! `GET /changes?after=REVISION&era=ERA` replies with [`PeerChanges`] in MessagePack as soon as the host knows later changes, with
+//! an empty one after [`PEER_WAIT`], and with status 410 if it has not listed the store in that era.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -20,6 +20,8 @@
 use crate::change_log::PeerChanges;
 use crate::relay_host::RelayHost;
 use crate::wire::StoreCall;
+use crate::wire::StoreEra;
+use crate::wire::StorePosition;
 use crate::wire::StoreRevision;
 
 /// Maximum delay of a reply. A reply without changes still shows that the host is alive and whether it can reach the store.
@@ -32,9 +34,9 @@
 /// Path of the endpoint.
 const PATH: &str = "/changes";
 
-/// Builds the call that asks a peer for changes after a revision.
-pub(crate) fn changes_call(after: StoreRevision) -> StoreCall {
-    let path = format!("{PATH}?after={after}");
+/// Builds the call that asks a peer for changes after a position.
+pub(crate) fn changes_call(after: StorePosition) -> StoreCall {
+    let path = format!("{PATH}?after={}&era={}", after.revision, after.era);
     StoreCall { method: CallMethod::GET, path, body: Bytes::new() }
 }
 
@@ -52,10 +54,17 @@
 #[rocket::async_trait]
 impl Handler for ChangesEndpoint {
     async fn handle<'r>(&self, request: &'r Request<'_>, _: Data<'r>) -> Outcome<'r> {
-        let Some(Ok(after)) = request.query_value::<StoreRevision>("after") else {
+        let Some(Ok(revision)) = request.query_value::<StoreRevision>("after") else {
             return Outcome::Error(Status::BadRequest);
         };
         let host = &self.host;
+        // Older versions of the program name no era.
+        let era = match request.query_value::<StoreEra>("era") {
+            None => host.changes.era(),
+            Some(Ok(era)) => era,
+            Some(Err(_)) => return Outcome::Error(Status::BadRequest),
+        };
+        let after = StorePosition { era, revision };
         let changes = host.changes.changes_after(after, PEER_WAIT, || host.now()).await;
         let Some(changes) = changes else {
             return Outcome::Error(Status::Gone);
--- a/crates/relay/src/store_client.rs
+++ b/crates/relay/src/store_client.rs
@@ -41,6 +41,15 @@
         /// Not a success status.
         status: StatusCode,
     },
+    /// The reply is of another era of the store than the one that the call is about.
+    #[display("the store replied in era {found} in place of {expected}")]
+    #[from(skip)]
+    OtherEra {
+        /// Era that the call is about.
+        expected: StoreEra,
+        /// Era of the reply.
+        found: StoreEra,
+    },
     /// The body of the reply cannot be decoded.
     #[display("the reply cannot be decoded: {detail}")]
     #[from(skip)]
--- a/crates/relay/src/store_follower.rs
+++ b/crates/relay/src/store_follower.rs
@@ -25,9 +25,10 @@
 use crate::request_flow::millis;
 use crate::store_client::StoreClient;
 use crate::store_client::StoreError;
+use crate::wire::StoreEra;
 use crate::wire::StoreItem;
 use crate::wire::StorePage;
-use crate::wire::StoreRevision;
+use crate::wire::StorePosition;
 
 /// Maximum wait of one watch. Long waits save calls, each of which is charged for.
 const WATCH_WAIT: Duration = Duration::from_secs(20);
@@ -74,7 +75,8 @@
         host,
         store,
         registry,
-        revision: None,
+        position: None,
+        era: None,
         is_store_lost: false,
         retry_delay: INITIAL_RETRY_DELAY,
         pace: FollowPace::default(),
@@ -86,9 +88,9 @@
         tokio::time::sleep(INITIAL_LIST_DELAY).await;
     }
     loop {
-        let step = match follower.revision {
+        let step = match follower.position {
             None => follower.list().await,
-            Some(revision) => follower.watch(revision).await,
+            Some(position) => follower.watch(position).await,
         };
         match step {
             Ok(step) => follower.on_success(step).await,
@@ -101,8 +103,10 @@
     host: Arc<RelayHost>,
     store: StoreClient,
     registry: StoreRegistry,
-    /// Revision up to which changes are known; `None` before the first list and after the store lost its history.
-    revision: Option<StoreRevision>,
+    /// Position up to which changes are known; `None` before the first list and after the store lost its history.
+    position: Option<StorePosition>,
+    /// Latest known era of the store; `None` before the first list.
+    era: Option<StoreEra>,
     is_store_lost: bool,
     retry_delay: Duration,
     pace: FollowPace,
@@ -117,28 +121,40 @@
     async fn list(&mut self) -> Result<FollowStep, StoreError> {
         let wire = self.host.wire.store;
         let mut items = Vec::new();
-        let mut first_revision = None;
+        let mut first_position: Option<StorePosition> = None;
         let mut after: Option<String> = None;
         loop {
             let call = (wire.list)(after.as_deref());
             let page = self.store.read_page(call, Duration::ZERO, wire.read_list).await?;
-            // The pages are not one snapshot, so the watch starts at the revision of the first page.
-            let revision = *first_revision.get_or_insert(page.revision);
+            // The pages are not one snapshot, so the watch starts at the position of the first page.
+            let position = *first_position.get_or_insert(page.position());
+            let expected = position.era.max(self.era.unwrap_or_default());
+            if page.era != expected {
+                return Err(StoreError::OtherEra { expected, found: page.era });
+            }
             after = page.items.last().map(|item| item.key.clone());
             items.extend(page.items);
             if !page.has_more || after.is_none() {
                 self.on_store_reply(self.host.now());
                 self.confirm_store();
-                tracing::info!(era = page.era, revision, items = items.len(), "store listed");
-                self.apply_complete(&items, revision);
+                let StorePosition { era, revision } = position;
+                tracing::info!(era, revision, items = items.len(), "store listed");
+                self.apply_complete(&items, position);
                 return Ok(WATCH_NOW);
             }
         }
     }
 
-    /// Replaces all known items by a complete list at `revision`.
-    fn apply_complete(&mut self, items: &[StoreItem], revision: StoreRevision) {
+    /// Replaces all known items by a complete list at `position`.
+    fn apply_complete(&mut self, items: &[StoreItem], position: StorePosition) {
         let now = self.host.now();
+        let before = self.era.replace(position.era).filter(|before| *before < position.era);
+        if let Some(before) = before {
+            metrics::counter!("vanillapick_store_restores_total").increment(1);
+            let StorePosition { era, revision } = position;
+            let known = self.position.map(|known| known.revision);
+            tracing::warn!(before, era, known, revision, "store was restored from a copy");
+        }
         self.busy_since = now;
         let changes: Vec<StoreChange> =
             items.iter().filter_map(|item| self.read_change(item)).collect();
@@ -153,10 +169,10 @@
         evidence.into_iter().for_each(|change| {
             self.apply(change, now);
         });
-        self.revision = Some(revision);
+        self.position = Some(position);
         self.install();
         self.record_registration();
-        self.host.changes.apply_list(items, revision);
+        self.host.changes.apply_list(items, position);
     }
 
     /// Reads the operators' documents ahead of other changes, so that a host that is far behind does not serve by an old
@@ -165,23 +181,28 @@
         let wire = self.host.wire.store;
         let page =
             self.store.read_page((wire.list_orders)(), Duration::ZERO, wire.read_list).await?;
+        let expected = self.era.unwrap_or_default();
+        if page.era != expected {
+            return Err(StoreError::OtherEra { expected, found: page.era });
+        }
         if page.has_more {
             // Without all documents, a removal cannot be told from a document on the next page.
             return Ok(());
         }
         let changes =
-            self.host.changes.apply_prefix(wire.orders_prefix, &page.items, page.revision);
+            self.host.changes.apply_prefix(wire.orders_prefix, &page.items, page.position());
         self.apply_items(&changes);
         Ok(())
     }
 
-    async fn watch(&mut self, revision: StoreRevision) -> Result<FollowStep, StoreError> {
+    async fn watch(&mut self, position: StorePosition) -> Result<FollowStep, StoreError> {
+        let revision = position.revision;
         let asked = self.host.now();
         let source = self.choose_source(asked);
         if self.host.set_store_watch(source == ChangeSource::Store) {
             tracing::info!(?source, revision, "source of changes");
         }
-        let watch = self.start_watch(&source, revision);
+        let watch = self.start_watch(&source, position);
         let mut watch = std::pin::pin!(watch);
         // A peer checks its own watch, so changes that it forwards need no check here.
         let check_period = match source {
@@ -204,12 +225,15 @@
                 }
                 () = tokio::time::sleep(check_period) => {
                     match self.check().await {
-                        Ok(current) if current > revision || is_suspect => {
+                        // The reply may be older than the restore of the store.
+                        Ok(current) if current.era < position.era => {}
+                        Ok(current) if current > position || is_suspect => {
                             let changes = tokio::time::timeout(WATCH_RETURN_GRACE, watch.as_mut()).await;
                             if let Ok(changes) = changes {
                                 break changes;
                             }
-                            tracing::info!(revision, current, is_suspect, "watch is silent; restarting it");
+                            let StorePosition { era, revision: current } = current;
+                            tracing::info!(revision, era, current, is_suspect, "watch is silent; restarting it");
                             return Ok(WATCH_NOW);
                         }
                         Ok(_) => self.confirm_store(),
@@ -223,22 +247,35 @@
             }
         };
         if let ChangeSource::Peer(peer, _) = source {
-            self.apply_peer_changes(peer, changes, revision).await;
+            self.apply_peer_changes(peer, changes, position).await;
             return Ok(WATCH_NOW);
         }
         let page = match changes {
             Ok(changes) => changes.page,
             Err(error) if error.has_status(StatusCode::GONE) => {
                 tracing::info!(revision, "history of the store is lost; listing all items again");
-                self.revision = None;
+                self.position = None;
                 return Ok(WATCH_NOW);
             }
             Err(error) => return Err(error),
         };
+        if page.era < position.era {
+            return Err(StoreError::OtherEra { expected: position.era, found: page.era });
+        }
+        if position.era < page.era {
+            // The revisions have passed the known one again, so the changes before it are missing in the page.
+            tracing::info!(
+                revision,
+                era = page.era,
+                "the store has a new era; listing all items again"
+            );
+            self.position = None;
+            return Ok(WATCH_NOW);
+        }
         self.on_store_reply(self.host.now());
         self.confirm_store();
         self.requires_store = false;
-        self.apply_changes(&page, revision);
+        self.apply_changes(&page, position);
         let (now, max_delay) = (self.host.now(), self.max_change_delay());
         let step =
             self.pace.after_page(page.items.len(), now.saturating_sub(asked), max_delay, now);
@@ -266,12 +303,13 @@
     fn start_watch(
         &self,
         source: &ChangeSource,
-        revision: StoreRevision,
+        position: StorePosition,
     ) -> BoxFuture<'static, Result<PeerChanges, StoreError>> {
         let wire = self.host.wire.store;
         match source {
             ChangeSource::Store => {
-                let (store, call) = (self.store.clone(), (wire.watch)(revision, WATCH_WAIT));
+                let (store, call) =
+                    (self.store.clone(), (wire.watch)(position.revision, WATCH_WAIT));
                 Box::pin(async move {
                     let page = store.read_page(call, WATCH_WAIT, wire.read_watch).await?;
                     Ok(PeerChanges {
@@ -284,7 +322,7 @@
             }
             ChangeSource::Peer(_, address) => {
                 let peer = self.store.for_peer(*address, PEER_TIMEOUT);
-                let call = changes_call(revision);
+                let call = changes_call(position);
                 Box::pin(async move { peer.read(call, PEER_WAIT, read_changes).await })
             }
         }
@@ -296,19 +334,28 @@
         &mut self,
         peer: HostId,
         changes: Result<PeerChanges, StoreError>,
-        revision: StoreRevision,
+        position: StorePosition,
     ) {
         let now = self.host.now();
+        let revision = position.revision;
         match changes {
+            Ok(changes) if changes.page.era < position.era => {
+                tracing::info!(
+                    peer = &*peer,
+                    era = changes.page.era,
+                    "host is in an earlier era of the store"
+                );
+                self.requires_store = true;
+            }
             Ok(changes) => {
                 let expiry_grace_until = now + changes.expiry_grace_left;
                 self.registry.extend_expiry_grace(expiry_grace_until);
                 self.host.changes.set_expiry_grace_until(expiry_grace_until);
                 if changes.is_complete {
                     tracing::info!(peer = &*peer, revision, "all items taken over from a host");
-                    self.apply_complete(&changes.page.items, changes.page.revision);
+                    self.apply_complete(&changes.page.items, changes.page.position());
                 } else {
-                    self.apply_changes(&changes.page, revision);
+                    self.apply_changes(&changes.page, position);
                 }
                 self.host.set_behind(false);
                 if changes.has_store {
@@ -333,10 +380,10 @@
         }
     }
 
-    fn apply_changes(&mut self, page: &StorePage, revision: StoreRevision) {
-        let revision = page.revision.max(revision);
-        self.revision = Some(revision);
-        let changes = self.host.changes.append(&page.items, revision);
+    fn apply_changes(&mut self, page: &StorePage, position: StorePosition) {
+        let position = page.position().max(position);
+        self.position = Some(position);
+        let changes = self.host.changes.append(&page.items, position);
         self.apply_items(&changes);
     }
 
@@ -376,9 +423,11 @@
         self.host.changes.confirm_store_until(until);
     }
 
-    async fn check(&self) -> Result<StoreRevision, StoreError> {
+    async fn check(&self) -> Result<StorePosition, StoreError> {
         let wire = self.host.wire.store;
-        self.store.read((wire.check)(), Duration::ZERO, wire.read_check).await
+        let call = (wire.check)();
+        let (revision, era) = self.store.read_in_era(call, Duration::ZERO, wire.read_check).await?;
+        Ok(StorePosition { era, revision })
     }
 
     /// Decodes an item. An error is logged, and the last valid value stays in force.
--- a/crates/relay/src/wire.rs
+++ b/crates/relay/src/wire.rs
@@ -135,13 +135,20 @@
     pub record_move: fn(&str, &MoveRecord, StoreRevision) -> StoreCall,
 }
 
-/// Position in the store's history of changes; increases with every write.
+/// Position in the store's history of changes; increases with every write of an era.
 pub type StoreRevision = u64;
 
 /// Number of times that the store was restored from an earlier copy of its contents. Revisions and leases are valid within
 /// an era only: the next one gives out again what was given out after the copy was made.
 pub type StoreEra = u64;
 
+/// Position in the histories of the store: positions of a later era are greater.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub struct StorePosition {
+    pub era: StoreEra,
+    pub revision: StoreRevision,
+}
+
 /// Identifies a lease in later calls of the store.
 pub type LeaseId = u64;
 
@@ -169,6 +176,13 @@
     pub era: StoreEra,
 }
 
+impl StorePage {
+    /// Position of the store at the time of the reply.
+    pub fn position(&self) -> StorePosition {
+        StorePosition { era: self.era, revision: self.revision }
+    }
+}
+
 /// An item of the store, or its removal.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct StoreItem {
