What a restored store lacks stays in force until its writers had time to write it again

Cause: the list of a restored store was applied like any other, but it is a copy from the past. Orders and registrations that were written after the copy are missing for a moment, and those that were removed after it are back.

Change: changes of a restored list that contradict what this host knows wait for two seconds: missing registrations of targets and hosts, missing evacuations and missing or other move orders. Then the store's state holds. Registrations of targets that left in the last minute wait for 10 s, within which the store drops them if the target is gone. The grace period of targets after an outage uses the same mechanism.

--- a/crates/dispatch/src/registry.rs
+++ b/crates/dispatch/src/registry.rs
@@ -38,6 +38,13 @@
 /// within 2 s; the rest is a margin for the watch.
 const EXPIRY_GRACE: Duration = Duration::from_millis(2300);
 
+/// Time for which a target that has left stays unused if a restored store has its registration again. The store removes such
+/// a registration after some seconds without a message of the target.
+const DEPARTED_HOLD: Duration = Duration::from_secs(10);
+
+/// Time for which targets that have left are remembered; longer than the age of the copies that a store is restored from.
+const DEPARTED_RETENTION: Duration = Duration::from_secs(60);
+
 /// Time in which a change of the store reaches all hosts that are connected to it.
 const CHANGE_SPREAD: Duration = Duration::from_secs(5);
 
@@ -107,6 +114,22 @@
     }
 }
 
+/// Item of the store whose removal or reappearance waits for confirmation.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum PendingKey {
+    Target(TargetId),
+    DomainOut(DomainId),
+    Host(HostId),
+    MoveOrder(PoolId),
+}
+
+/// Change that takes effect later, unless another change of the item arrives before.
+#[derive(Debug)]
+struct PendingChange {
+    change: StoreChange,
+    due: Duration,
+}
+
 /// State of the store as known to this host.
 #[derive(Debug)]
 pub struct StoreRegistry {
@@ -116,8 +139,11 @@
     targets: BTreeMap<TargetId, Arc<TargetState>>,
     /// Latest record of each target, including draining ones.
     records: BTreeMap<TargetId, TargetRecord>,
-    /// Targets whose registration has expired, with the time until which they are kept.
-    expired_targets: BTreeMap<TargetId, Duration>,
+    /// Changes that wait for confirmation: removals of registrations that expired while the store was unreachable, and differences
+    /// of a restored store.
+    pending: BTreeMap<PendingKey, PendingChange>,
+    /// Targets that have left lately, with their last record and the time until which they are remembered.
+    departed: BTreeMap<TargetId, (TargetRecord, Duration)>,
     domains_out: BTreeSet<DomainId>,
     hosts: BTreeMap<HostId, HostRecord>,
     /// Hosts that are no longer registered, with their last record and the time until which they count.
@@ -139,7 +165,8 @@
             config: None,
             targets: BTreeMap::new(),
             records: BTreeMap::new(),
-            expired_targets: BTreeMap::new(),
+            pending: BTreeMap::new(),
+            departed: BTreeMap::new(),
             domains_out: BTreeSet::new(),
             hosts: BTreeMap::new(),
             gone_hosts: BTreeMap::new(),
@@ -173,6 +200,7 @@
 
     /// Applies a change; returns whether it affects the serving view.
     pub fn apply(&mut self, change: StoreChange, now: Duration) -> bool {
+        let was_pending = change.pending_key().and_then(|key| self.pending.remove(&key));
         match change {
             StoreChange::Config(document) => {
                 let is_newer =
@@ -182,8 +210,8 @@
                 }
                 is_newer
             }
-            StoreChange::Target(record) => self.apply_target(record, now),
-            StoreChange::TargetGone(id) => self.apply_removal(&id, now),
+            StoreChange::Target(record) => self.apply_target(record, was_pending.is_some(), now),
+            StoreChange::TargetGone(id) => self.apply_removal(&id, was_pending, now),
             StoreChange::DomainOut(domain, true) => self.domains_out.insert(domain),
             StoreChange::DomainOut(domain, false) => self.domains_out.remove(&domain),
             StoreChange::Host(host, Some(record)) => {
@@ -247,27 +275,86 @@
         }
     }
 
-    /// Removes expired targets and unregistered hosts whose grace period is over; returns whether the serving view is
+    /// Applies a complete list of a store that was restored from a copy. Writers write again what the copy lacks, so what
+    /// this host knows to be confirmed stays for the grace period: registrations, domains out of service and move orders
+    /// that the list lacks, and orders that it has differently. Targets that have left stay unused for longer.
+    pub fn apply_restored_list(&mut self, changes: Vec<StoreChange>, now: Duration) {
+        self.mark_store_recovered(now);
+        let due = now + EXPIRY_GRACE;
+        let mut missing: BTreeMap<PendingKey, StoreChange> = BTreeMap::new();
+        for id in self.records.keys() {
+            missing.insert(PendingKey::Target(id.clone()), StoreChange::TargetGone(id.clone()));
+        }
+        for domain in &self.domains_out {
+            let change = StoreChange::DomainOut(domain.clone(), false);
+            missing.insert(PendingKey::DomainOut(domain.clone()), change);
+        }
+        for host in self.hosts.keys() {
+            missing.insert(PendingKey::Host(host.clone()), StoreChange::Host(host.clone(), None));
+        }
+        for (pool, pool_move) in &self.moves {
+            if pool_move.order.is_some() {
+                let change = StoreChange::MoveOrder(pool.clone(), None);
+                missing.insert(PendingKey::MoveOrder(pool.clone()), change);
+            }
+        }
+        for change in changes {
+            let key = change.pending_key();
+            key.as_ref().map(|key| missing.remove(key));
+            let hold = self.restored_hold(&change);
+            match key {
+                Some(key) if !hold.is_zero() => {
+                    self.pending.insert(key, PendingChange { change, due: now + hold });
+                }
+                _ => drop(self.apply(change, now)),
+            }
+        }
+        let missing = missing.into_iter();
+        self.pending.extend(missing.map(|(key, change)| (key, PendingChange { change, due })));
+    }
+
+    /// Time for which a change of a restored list is held back.
+    fn restored_hold(&self, change: &StoreChange) -> Duration {
+        match change {
+            StoreChange::Target(record) => {
+                let departed = self.departed.get(&record.id);
+                let is_old = departed.is_some_and(|(departed, _)| {
+                    departed.started_ms == record.started_ms && record.sequence <= departed.sequence
+                });
+                if is_old { DEPARTED_HOLD } else { Duration::ZERO }
+            }
+            StoreChange::MoveOrder(pool, order) => {
+                let known = self.moves.get(pool).and_then(|known| known.order.as_ref());
+                let is_other = known.is_some() && known != order.as_ref();
+                if is_other { EXPIRY_GRACE } else { Duration::ZERO }
+            }
+            _ => Duration::ZERO,
+        }
+    }
+
+    /// Applies pending changes whose time has come and forgets hosts that no longer count; returns whether the serving view is
     /// affected.
     pub fn expire(&mut self, now: Duration) -> bool {
-        let over: Vec<TargetId> = self
-            .expired_targets
-            .iter()
-            .filter(|(_, until)| **until <= now)
-            .map(|(id, _)| id.clone())
-            .collect();
-        for id in &over {
-            self.remove_target(id);
+        let due = self.pending.iter().filter(|(_, pending)| pending.due <= now);
+        let due: Vec<PendingKey> = due.map(|(key, _)| key.clone()).collect();
+        let mut is_changed = false;
+        for key in due {
+            let Some(pending) = self.pending.remove(&key) else { continue };
+            is_changed |= match pending.change {
+                StoreChange::TargetGone(id) => self.remove_target(&id, now),
+                change => self.apply(change, now),
+            };
         }
         let hosts = self.gone_hosts.len();
         self.gone_hosts.retain(|_, (_, until)| now < *until);
-        !over.is_empty() || hosts != self.gone_hosts.len()
+        self.departed.retain(|_, (_, until)| now < *until);
+        is_changed || hosts != self.gone_hosts.len()
     }
 
-    /// Next time to call [`Self::expire`]; `None` if no grace period is running.
+    /// Next time to call [`Self::expire`]; `None` if nothing is pending.
     pub fn next_expiry(&self) -> Option<Duration> {
-        let gone_hosts = self.gone_hosts.values().map(|(_, until)| until);
-        self.expired_targets.values().chain(gone_hosts).min().copied()
+        let gone_hosts = self.gone_hosts.values().map(|(_, until)| *until);
+        self.pending.values().map(|pending| pending.due).chain(gone_hosts).min()
     }
 
     /// Version of the current configuration, if there is one.
@@ -364,13 +451,12 @@
         self.hosts.iter().chain(gone_hosts)
     }
 
-    fn apply_target(&mut self, record: TargetRecord, now: Duration) -> bool {
+    fn apply_target(&mut self, record: TargetRecord, was_expired: bool, now: Duration) -> bool {
         let id = Arc::clone(&record.id);
         let known = self.records.get(&id);
         if known.is_some_and(|known| record.is_older_than(known)) {
             return false;
         }
-        let was_expired = self.expired_targets.remove(&id).is_some();
         let is_same_instance = known.is_some_and(|known| {
             known.started_ms == record.started_ms
                 && known.address == record.address
@@ -391,21 +477,48 @@
         true
     }
 
-    fn apply_removal(&mut self, id: &TargetId, now: Duration) -> bool {
+    fn apply_removal(
+        &mut self,
+        id: &TargetId,
+        was_pending: Option<PendingChange>,
+        now: Duration,
+    ) -> bool {
         if !self.records.contains_key(id) {
             return false;
         }
         if now < self.expiry_grace_until {
-            self.expired_targets.entry(Arc::clone(id)).or_insert(self.expiry_grace_until);
+            let change = StoreChange::TargetGone(Arc::clone(id));
+            // A removal that is reported again is due as before.
+            let known = was_pending.filter(|pending| pending.change == change);
+            let due = known.map_or(self.expiry_grace_until, |pending| pending.due);
+            let pending = PendingChange { change, due };
+            self.pending.insert(PendingKey::Target(Arc::clone(id)), pending);
             return false;
         }
-        self.remove_target(id);
-        true
+        self.remove_target(id, now)
     }
 
-    fn remove_target(&mut self, id: &TargetId) {
-        self.expired_targets.remove(id);
+    fn remove_target(&mut self, id: &TargetId, now: Duration) -> bool {
         self.targets.remove(id);
-        self.records.remove(id);
+        let Some(record) = self.records.remove(id) else { return false };
+        self.departed.insert(Arc::clone(id), (record, now + DEPARTED_RETENTION));
+        true
+    }
+}
+
+impl StoreChange {
+    /// The item that the change is about, if changes of it may wait for confirmation.
+    fn pending_key(&self) -> Option<PendingKey> {
+        match self {
+            Self::Target(record) => Some(PendingKey::Target(Arc::clone(&record.id))),
+            Self::TargetGone(id) => Some(PendingKey::Target(Arc::clone(id))),
+            Self::DomainOut(domain, _) => Some(PendingKey::DomainOut(Arc::clone(domain))),
+            Self::Host(host, _) => Some(PendingKey::Host(Arc::clone(host))),
+            Self::MoveOrder(pool, _) => Some(PendingKey::MoveOrder(Arc::clone(pool))),
+            Self::Config(_)
+            | Self::MoveRecord(..)
+            | Self::MoveEvidence(..)
+            | Self::CrashMark(..) => None,
+        }
     }
 }
--- a/crates/relay/src/change_log.rs
+++ b/crates/relay/src/change_log.rs
@@ -23,7 +23,7 @@
 /// Latest version of every item of the store, with a notification of changes.
 ///
 /// A change that was superseded is not kept, so the size is that of the store's items and any host can catch up from here.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct ChangeLog {
     state: Mutex<ItemCopy>,
     /// Position up to which changes are known; revision 0 before the first list.
@@ -64,12 +64,6 @@
     pub is_complete: bool,
 }
 
-impl Default for ChangeLog {
-    fn default() -> Self {
-        Self { state: Mutex::default(), position: watch::Sender::default() }
-    }
-}
-
 impl ChangeLog {
     /// Applies a list of all items at `position`. Known items that it lacks count as removed, unless they are newer; a list of
     /// a later era replaces everything. One of an earlier era is ignored.
--- a/crates/relay/src/store_follower.rs
+++ b/crates/relay/src/store_follower.rs
@@ -164,7 +164,12 @@
         }));
         let (evidence, changes): (Vec<_>, Vec<_>) =
             changes.into_iter().partition(|change| matches!(change, StoreChange::MoveEvidence(..)));
-        self.registry.apply_list(changes, now);
+        if before.is_some() {
+            self.registry.apply_restored_list(changes, now);
+            self.host.changes.set_expiry_grace_until(self.registry.expiry_grace_until());
+        } else {
+            self.registry.apply_list(changes, now);
+        }
         self.set_moves();
         evidence.into_iter().for_each(|change| {
             self.apply(change, now);
@@ -218,10 +223,7 @@
                 changes = watch.as_mut() => break changes,
                 // The watch continues, because a new call would be charged for again.
                 () = tokio::time::sleep(expiry) => {
-                    self.busy_since = self.host.now();
-                    if self.registry.expire(self.busy_since) {
-                        self.install();
-                    }
+                    self.expire();
                 }
                 () = tokio::time::sleep(check_period) => {
                     match self.check().await {
@@ -392,6 +394,9 @@
         let now = self.host.now();
         self.busy_since = now;
         let mut is_changed = self.registry.expire(now);
+        if is_changed {
+            self.set_moves();
+        }
         for item in items {
             if let Some(change) = self.read_change(item) {
                 is_changed |= self.apply(change, now);
@@ -507,8 +512,14 @@
         self.host.changes.mark_store_lost();
         tokio::time::sleep(self.retry_delay).await;
         self.retry_delay = (self.retry_delay * 2).min(MAX_RETRY_DELAY);
+        self.expire();
+    }
+
+    /// Applies changes of which no confirmation has arrived in time.
+    fn expire(&mut self) {
         self.busy_since = self.host.now();
         if self.registry.expire(self.busy_since) {
+            self.set_moves();
             self.install();
         }
     }
