Records and evidence of moves that a restored store lacks are written again

Operators stop the old targets at the record 'completed', and read it from the store.

Cause: only hosts write records, and only while a move runs. After a restore the store had an earlier record or none, with the revision that hosts expect of it being that of the lost history, and nobody wrote it again; evidence of hosts was lost as well.

Change: a move keeps the effective record and what the store holds apart. A stored one that is behind the known one does not replace it, and any host writes the known one again by compare-and-swap against what the store holds. Evidence counts as not written after a restore.

--- a/crates/dispatch/src/registry.rs
+++ b/crates/dispatch/src/registry.rs
@@ -231,14 +231,7 @@
                 is_changed
             }
             StoreChange::MoveRecord(pool, record, revision) => {
-                let pool_move = self.moves.entry(pool).or_default();
-                if revision <= pool_move.record_revision {
-                    return false;
-                }
-                let is_changed = pool_move.record.as_ref() != Some(&record);
-                pool_move.record = Some(record);
-                pool_move.record_revision = revision;
-                is_changed
+                self.moves.entry(pool).or_default().apply_record(record, revision)
             }
             // The caller handles evidence and crash marks.
             StoreChange::MoveEvidence(..) | StoreChange::CrashMark(..) => false,
@@ -280,6 +273,7 @@
     /// that the list lacks, and orders that it has differently. Targets that have left stay unused for longer.
     pub fn apply_restored_list(&mut self, changes: Vec<StoreChange>, now: Duration) {
         self.mark_store_recovered(now);
+        self.moves.values_mut().for_each(PoolMove::forget_stored);
         let due = now + EXPIRY_GRACE;
         let mut missing: BTreeMap<PendingKey, StoreChange> = BTreeMap::new();
         for id in self.records.keys() {
--- a/crates/dispatch/src/version_split.rs
+++ b/crates/dispatch/src/version_split.rs
@@ -43,7 +43,9 @@
     pub order: Option<MoveOrder>,
     /// Record of the current order or of an earlier one.
     pub record: Option<MoveRecord>,
-    /// Store revision of the record; 0 if there is none.
+    /// Record in the store. After the store was restored it may be behind `record`, which is then written again.
+    pub stored: Option<MoveRecord>,
+    /// Store revision of `stored`; 0 if there is none.
     pub record_revision: u64,
 }
 
@@ -81,6 +83,42 @@
         (!has_ended).then_some(order)
     }
 
+    /// Applies a record that was read from the store; returns whether the effective record changes.
+    pub(crate) fn apply_record(&mut self, record: MoveRecord, revision: u64) -> bool {
+        if revision <= self.record_revision {
+            return false;
+        }
+        self.record_revision = revision;
+        self.stored = Some(record.clone());
+        if self.is_behind(&record) || self.record.as_ref() == Some(&record) {
+            return false;
+        }
+        self.record = Some(record);
+        true
+    }
+
+    /// Forgets what the store holds, because it was restored from a copy.
+    pub(crate) fn forget_stored(&mut self) {
+        self.stored = None;
+        self.record_revision = 0;
+    }
+
+    /// The record to write, if the store lacks it since it was restored.
+    pub fn lost_record(&self) -> Option<&MoveRecord> {
+        self.record.as_ref().filter(|record| self.stored.as_ref() != Some(record))
+    }
+
+    /// Whether a stored record is from before the known one: the known one is about the current order, and the stored one is
+    /// about another or has not ended.
+    fn is_behind(&self, stored: &MoveRecord) -> bool {
+        let (Some(order), Some(known)) = (&self.order, &self.record) else { return false };
+        if known.version != order.version {
+            return false;
+        }
+        let is_ended = |record: &MoveRecord| record.state != MoveRecordState::Running;
+        stored.version != known.version || (is_ended(known) && !is_ended(stored))
+    }
+
     /// Removes targets that must not get requests; returns how requests are divided among the remaining ones.
     pub(crate) fn retain_usable(&self, targets: &mut Vec<Arc<TargetState>>) -> VersionSplit {
         let has_version =
--- a/crates/dispatch/tests/restored_registry.rs
+++ b/crates/dispatch/tests/restored_registry.rs
@@ -17,6 +17,8 @@
 use vanillapick_dispatch::registry::StoreRegistry;
 use vanillapick_dispatch::target_record::TargetRecord;
 use vanillapick_dispatch::version_split::MoveOrder;
+use vanillapick_dispatch::version_split::MoveRecord;
+use vanillapick_dispatch::version_split::MoveRecordState;
 
 /// Time at which the restored store is listed.
 const LISTED: Duration = Duration::from_millis(20_000);
@@ -147,6 +149,27 @@
     assert_eq!(registry.moves()["p"].order, None);
 }
 
+/// Operators stop the old targets once a move is recorded as completed, so it must not start again.
+#[test]
+fn a_completed_move_stays_completed_and_its_record_is_lost_until_it_is_written_again() {
+    let order = MoveOrder { version: "v2".into(), duration: ms(8000) };
+    let record = |state| MoveRecord { version: "v2".into(), state };
+    let (running, completed) =
+        (record(MoveRecordState::Running), record(MoveRecordState::Completed));
+    let mut registry = one_pool();
+    registry.apply(StoreChange::MoveOrder("p".into(), Some(order.clone())), ms(1000));
+    registry.apply(StoreChange::MoveRecord("p".into(), completed.clone(), 60), ms(9000));
+    let mut restored = targets();
+    restored.push(StoreChange::MoveOrder("p".into(), Some(order)));
+    restored.push(StoreChange::MoveRecord("p".into(), running, 40));
+    registry.apply_restored_list(restored, LISTED);
+    let known = &registry.moves()["p"];
+    assert_eq!((known.active_order(), known.lost_record()), (None, Some(&completed)));
+    assert_eq!(known.record_revision, 40, "the next write expects what the store holds");
+    registry.apply(StoreChange::MoveRecord("p".into(), completed, 50), LISTED + ms(900));
+    assert_eq!(registry.moves()["p"].lost_record(), None);
+}
+
 /// The copy may hold an older configuration than the one in force, and operators write theirs again.
 #[test]
 fn the_configuration_does_not_go_back_to_that_of_the_copy() {
--- a/crates/relay/src/move_tracker.rs
+++ b/crates/relay/src/move_tracker.rs
@@ -37,6 +37,7 @@
 use crate::relay_host::RelayHost;
 use crate::store_client::StoreClient;
 use crate::store_client::StoreError;
+use crate::wire::StoreRevision;
 
 /// Interval between updates of the traffic shares.
 const SHARE_UPDATE_PERIOD: Duration = Duration::from_millis(200);
@@ -51,6 +52,8 @@
 #[derive(Default)]
 pub struct MoveTracker {
     moves: Mutex<BTreeMap<PoolId, TrackedMove>>,
+    /// Records that a restored store lacks, with the revision of what it has in their place.
+    lost_records: Mutex<Vec<(PoolId, MoveRecord, StoreRevision)>>,
 }
 
 struct TrackedMove {
@@ -75,6 +78,11 @@
     /// Starts and ends tracking according to the move orders and records in the store. `wall` is the start time of new
     /// moves.
     pub(crate) fn set_moves(&self, moves: &PoolMoves, wall: SystemTime) {
+        let lost = moves.iter().filter_map(|(pool, pool_move)| {
+            let record = pool_move.lost_record()?.clone();
+            Some((Arc::clone(pool), record, pool_move.record_revision))
+        });
+        *self.lost_records() = lost.collect();
         let mut moves_by_pool = self.moves();
         let ids: BTreeMap<&PoolId, String> = moves
             .iter()
@@ -142,6 +150,15 @@
         tracked.evidence.merge(&evidence);
     }
 
+    /// Has the evidence of this host written again, because the store was restored from a copy.
+    pub(crate) fn mark_unwritten(&self) {
+        self.moves().values_mut().for_each(|tracked| tracked.is_written = false);
+    }
+
+    fn lost_records(&self) -> MutexGuard<'_, Vec<(PoolId, MoveRecord, StoreRevision)>> {
+        self.lost_records.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn moves(&self) -> MutexGuard<'_, BTreeMap<PoolId, TrackedMove>> {
         self.moves.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -179,7 +196,7 @@
 /// Pending write to the store.
 enum MoveWrite {
     Evidence(PoolId, Vec<u8>),
-    Record(PoolId, MoveRecord, u64),
+    Record(PoolId, MoveRecord, StoreRevision),
 }
 
 /// Updates the shares of all moves, publishes evidence and records outcomes until the process ends.
@@ -202,6 +219,13 @@
     let mut writes = Vec::new();
     let Some(view) = host.view() else { return writes };
     let wall = SystemTime::now();
+    if writes_due {
+        let lost = host.moves.lost_records().clone();
+        writes.extend(
+            lost.into_iter()
+                .map(|(pool, record, revision)| MoveWrite::Record(pool, record, revision)),
+        );
+    }
     for (pool, tracked) in host.moves.moves().iter_mut() {
         let status = move_status(&tracked.row, wall, &tracked.evidence);
         if let Some(pool) = view.serving.pools.get(pool) {
--- a/crates/relay/src/store_follower.rs
+++ b/crates/relay/src/store_follower.rs
@@ -166,6 +166,7 @@
             changes.into_iter().partition(|change| matches!(change, StoreChange::MoveEvidence(..)));
         if before.is_some() {
             self.registry.apply_restored_list(changes, now);
+            self.host.moves.mark_unwritten();
             self.host.changes.set_expiry_grace_until(self.registry.expiry_grace_until());
         } else {
             self.registry.apply_list(changes, now);
