--- a/crates/relay/src/relay_host.rs
+++ b/crates/relay/src/relay_host.rs
@@ -34,6 +34,7 @@
 use crate::relay_server::host_location;
 use crate::reply_memory::ReplyMemory;
 use crate::wire::PlatformWire;
+use crate::wire::StoreEra;
 
 /// Upper limit of the wake-up lateness that responses compensate for. A host that is later than this is overloaded, and
 /// responding earlier does not help.
@@ -65,6 +66,8 @@
     is_behind: AtomicBool,
     /// Whether the store lacks the registration of this host, according to the latest list or change.
     is_unregistered: watch::Sender<bool>,
+    /// Era of the store that this host has listed last; 0 before the first list.
+    store_era: watch::Sender<StoreEra>,
     attempts: AtomicU64,
     loop_delay_us: AtomicU64,
     /// When the timer that measures the delay is due.
@@ -123,6 +126,7 @@
             has_store_watch: AtomicBool::new(false),
             is_behind: AtomicBool::new(false),
             is_unregistered: watch::Sender::new(false),
+            store_era: watch::Sender::new(0),
             attempts: AtomicU64::new(0),
             loop_delay_us: AtomicU64::new(0),
             loop_due_us: AtomicU64::new(u64::MAX),
@@ -253,6 +257,16 @@
         self.is_unregistered.subscribe()
     }
 
+    /// Records the era of a list of the store.
+    pub(crate) fn set_store_era(&self, era: StoreEra) {
+        self.store_era.send_if_modified(|known| std::mem::replace(known, era) != era);
+    }
+
+    /// Subscribes to the era of the store.
+    pub(crate) fn store_era(&self) -> watch::Receiver<StoreEra> {
+        self.store_era.subscribe()
+    }
+
     /// Whether this host knows of no reason why its configuration could be old: the store has replied lately, and no
     /// changes are waiting.
     pub fn is_current(&self) -> bool {
--- a/crates/relay/src/store_follower.rs
+++ b/crates/relay/src/store_follower.rs
@@ -179,6 +179,7 @@
         self.install();
         self.record_registration();
         self.host.changes.apply_list(items, position);
+        self.host.set_store_era(position.era);
     }
 
     /// Reads the operators' documents ahead of other changes, so that a host that is far behind does not serve by an old
