A host notices a restore to the revision of its watch

Cause: a store that is restored and written again up to the revision of a watch has nothing to reply to it. The check of the watch saw the later era, but restarted the watch at the same revision, so that the restore was noticed with the next change only.

Change: a check in a later era has the store listed at once.

--- a/crates/relay/src/store_follower.rs
+++ b/crates/relay/src/store_follower.rs
@@ -231,6 +231,9 @@
                     match self.check().await {
                         // The reply may be older than the restore of the store.
                         Ok(current) if current.era < position.era => {}
+                        Ok(current) if position.era < current.era => {
+                            return Ok(self.start_era(position, current.era));
+                        }
                         Ok(current) if current > position || is_suspect => {
                             let changes = tokio::time::timeout(WATCH_RETURN_GRACE, watch.as_mut()).await;
                             if let Ok(changes) = changes {
@@ -268,13 +271,7 @@
         }
         if position.era < page.era {
             // The revisions have passed the known one again, so the changes before it are missing in the page.
-            tracing::info!(
-                revision,
-                era = page.era,
-                "the store has a new era; listing all items again"
-            );
-            self.position = None;
-            return Ok(WATCH_NOW);
+            return Ok(self.start_era(position, page.era));
         }
         self.on_store_reply(self.host.now());
         self.confirm_store();
@@ -287,6 +284,14 @@
         Ok(step)
     }
 
+    /// Has the store listed, because it is in a later era than the known position.
+    fn start_era(&mut self, known: StorePosition, era: StoreEra) -> FollowStep {
+        let revision = known.revision;
+        tracing::info!(revision, era, "the store has a new era; listing all items again");
+        self.position = None;
+        WATCH_NOW
+    }
+
     fn choose_source(&mut self, now: Duration) -> ChangeSource {
         if self.requires_store || self.is_store_lost {
             return ChangeSource::Store;
