Unknown routes may be new until a restored store has its orders again

A host that had not read an order before the store lost it would answer 404 for the route that it added, although the order is confirmed.

Cause: a host takes itself for current when the store replies and no changes wait. A restored store replies, and lacks what its operators have not written again.

Change: a host is not current during the grace period after a restore, so that such requests get 503 with Retry-After.

--- a/crates/relay/src/relay_host.rs
+++ b/crates/relay/src/relay_host.rs
@@ -68,6 +68,8 @@
     is_unregistered: watch::Sender<bool>,
     /// Era of the store that this host has listed last; 0 before the first list.
     store_era: watch::Sender<StoreEra>,
+    /// Time until which a restored store may lack orders that its operators have not written again yet.
+    restored_until_us: AtomicU64,
     attempts: AtomicU64,
     loop_delay_us: AtomicU64,
     /// When the timer that measures the delay is due.
@@ -127,6 +129,7 @@
             is_behind: AtomicBool::new(false),
             is_unregistered: watch::Sender::new(false),
             store_era: watch::Sender::new(0),
+            restored_until_us: AtomicU64::new(0),
             attempts: AtomicU64::new(0),
             loop_delay_us: AtomicU64::new(0),
             loop_due_us: AtomicU64::new(u64::MAX),
@@ -267,10 +270,17 @@
         self.store_era.subscribe()
     }
 
-    /// Whether this host knows of no reason why its configuration could be old: the store has replied lately, and no
-    /// changes are waiting.
+    /// Records that the store was restored, and until when its operators may write again.
+    pub(crate) fn set_restored_until(&self, until: Duration) {
+        self.restored_until_us.fetch_max(micros(until), Relaxed);
+    }
+
+    /// Whether this host knows of no reason why its configuration could be old: the store has replied lately, holds what its
+    /// operators wrote, and no changes are waiting.
     pub fn is_current(&self) -> bool {
-        !self.is_behind.load(Relaxed) && self.changes.has_store(self.now())
+        let now = self.now();
+        let is_restored = micros(now) < self.restored_until_us.load(Relaxed);
+        !is_restored && !self.is_behind.load(Relaxed) && self.changes.has_store(now)
     }
 
     pub(crate) fn start_request(self: &Arc<Self>) -> RunningRequest {
--- a/crates/relay/src/store_follower.rs
+++ b/crates/relay/src/store_follower.rs
@@ -167,6 +167,7 @@
         if before.is_some() {
             self.registry.apply_restored_list(changes, now);
             self.host.moves.mark_unwritten();
+            self.host.set_restored_until(self.registry.expiry_grace_until());
             self.host.changes.set_expiry_grace_until(self.registry.expiry_grace_until());
         } else {
             self.registry.apply_list(changes, now);
