Crash marks that a restored store lacks are published again

Cause: a mark is written once, and its lease ends with the lost history. The list of the restored store replaced all marks.

Change: the host that set a mark publishes it again for the rest of its lifetime; the others keep marks that the list lacks for 3 s.

--- a/crates/dispatch/src/crash_guard.rs
+++ b/crates/dispatch/src/crash_guard.rs
@@ -22,6 +22,8 @@
 pub struct CrashGuard {
     losses: HashMap<RequestFingerprint, LossCount>,
     marked: HashSet<RequestFingerprint>,
+    /// Marks that a restored store lacks, with the time until which they apply.
+    unconfirmed: HashMap<RequestFingerprint, Duration>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -33,7 +35,7 @@
 impl CrashGuard {
     /// Whether there are neither losses nor marks, so that requests need no fingerprint.
     pub fn is_empty(&self) -> bool {
-        self.losses.is_empty() && self.marked.is_empty()
+        self.losses.is_empty() && self.marked.is_empty() && self.unconfirmed.is_empty()
     }
 
     /// Whether requests with this fingerprint are refused.
@@ -42,7 +44,8 @@
         let is_over_limit = losses.is_some_and(|losses| {
             losses.count >= CRASH_LOSS_LIMIT && now < losses.last + LOSS_RETENTION
         });
-        is_over_limit || self.marked.contains(&fingerprint)
+        let is_unconfirmed = self.unconfirmed.get(&fingerprint).is_some_and(|until| now < *until);
+        is_over_limit || is_unconfirmed || self.marked.contains(&fingerprint)
     }
 
     /// Counts a target lost while it executed a request with this fingerprint. Returns true when the count reaches the
@@ -73,8 +76,21 @@
         self.marked = marked.collect();
     }
 
+    /// Replaces the marks by those of a restored store. Marks that it lacks apply until `until`, so that the hosts which set
+    /// them can publish them again.
+    pub fn restore_marked(
+        &mut self,
+        listed: impl Iterator<Item = RequestFingerprint>,
+        until: Duration,
+    ) {
+        let known = std::mem::replace(&mut self.marked, listed.collect());
+        let missing = known.difference(&self.marked);
+        self.unconfirmed = missing.map(|fingerprint| (*fingerprint, until)).collect();
+    }
+
     /// Applies a mark that any host has set, or its expiry.
     pub fn set_marked(&mut self, fingerprint: RequestFingerprint, is_marked: bool) {
+        self.unconfirmed.remove(&fingerprint);
         if is_marked {
             self.marked.insert(fingerprint);
         } else {
--- a/crates/relay/src/crash_marks.rs
+++ b/crates/relay/src/crash_marks.rs
@@ -36,30 +36,63 @@
     hasher.digest()
 }
 
-/// Publishes the crash marks of this host to the store until the process ends.
+/// Publishes the crash marks of this host to the store until the process ends, and again if the store was restored.
 pub(crate) async fn publish_crash_marks(
     host: Arc<RelayHost>,
     store: StoreClient,
     mut fingerprints: UnboundedReceiver<RequestFingerprint>,
 ) {
-    while let Some(fingerprint) = fingerprints.recv().await {
-        tracing::warn!(
-            print = format!("{fingerprint:016x}"),
-            "requests with this fingerprint are refused: they crash targets"
-        );
-        if let Err(error) = publish(&host, &store, fingerprint).await {
-            tracing::warn!(print = format!("{fingerprint:016x}"), fault = %error, "publishing the crash mark to other hosts failed");
+    let mut store_era = host.store_era();
+    let mut marks: Vec<PublishedMark> = Vec::new();
+    loop {
+        tokio::select! {
+            fingerprint = fingerprints.recv() => {
+                let Some(fingerprint) = fingerprint else { return };
+                tracing::warn!(
+                    print = format!("{fingerprint:016x}"),
+                    "requests with this fingerprint are refused: they crash targets"
+                );
+                let until = host.now() + CRASH_MARK_TTL;
+                let mark = PublishedMark { fingerprint, until };
+                marks.retain(|known| host.now() < known.until);
+                marks.push(mark);
+                publish(&host, &store, mark).await;
+            }
+            Ok(()) = store_era.changed() => {
+                let now = host.now();
+                marks.retain(|mark| now < mark.until);
+                for mark in &marks {
+                    publish(&host, &store, *mark).await;
+                }
+            }
         }
     }
 }
 
-async fn publish(
+/// A mark of this host.
+#[derive(Clone, Copy)]
+struct PublishedMark {
+    fingerprint: RequestFingerprint,
+    /// End of its lifetime, as time since the start of the process.
+    until: Duration,
+}
+
+async fn publish(host: &RelayHost, store: &StoreClient, mark: PublishedMark) {
+    let fingerprint = mark.fingerprint;
+    if let Err(error) = write_mark(host, store, mark).await {
+        tracing::warn!(print = format!("{fingerprint:016x}"), fault = %error, "publishing the crash mark to other hosts failed");
+    }
+}
+
+async fn write_mark(
     host: &RelayHost,
     store: &StoreClient,
-    fingerprint: RequestFingerprint,
+    mark: PublishedMark,
 ) -> Result<(), StoreError> {
     let wire = host.wire.store;
-    let lease = store.read((wire.lease)(CRASH_MARK_TTL), Duration::ZERO, wire.read_lease).await?;
+    let PublishedMark { fingerprint, until } = mark;
+    let lifetime = until.saturating_sub(host.now());
+    let lease = store.read((wire.lease)(lifetime), Duration::ZERO, wire.read_lease).await?;
     store.send((wire.mark_crash)(fingerprint, lease), Duration::ZERO).await?;
     Ok(())
 }
--- a/crates/relay/src/store_follower.rs
+++ b/crates/relay/src/store_follower.rs
@@ -59,6 +59,9 @@
 /// domain share a watch from the first one on; otherwise each pays for one of its own.
 const INITIAL_LIST_DELAY: Duration = Duration::from_millis(700);
 
+/// Time in which hosts publish their crash marks again to a restored store.
+const MARK_GRACE: Duration = Duration::from_secs(3);
+
 /// Continues with the next watch without a delay.
 const WATCH_NOW: FollowStep = FollowStep::Watch(Duration::ZERO);
 
@@ -158,10 +161,14 @@
         self.busy_since = now;
         let changes: Vec<StoreChange> =
             items.iter().filter_map(|item| self.read_change(item)).collect();
-        self.host.crashes().replace_marked(changes.iter().filter_map(|change| match change {
+        let marked = changes.iter().filter_map(|change| match change {
             StoreChange::CrashMark(fingerprint, true) => Some(*fingerprint),
             _ => None,
-        }));
+        });
+        match before {
+            Some(_) => self.host.crashes().restore_marked(marked, now + MARK_GRACE),
+            None => self.host.crashes().replace_marked(marked),
+        }
         let (evidence, changes): (Vec<_>, Vec<_>) =
             changes.into_iter().partition(|change| matches!(change, StoreChange::MoveEvidence(..)));
         if before.is_some() {
