A host that is cut off from all targets has its requests served by others

Cause: a host judges each target by itself. Nothing told it that its own links are cut, and it had no way to have a whole request served elsewhere.

Change: a host to which no target replies probes some by new connections and asks other hosts whether they reach targets. Silence, failed probes and another host's word together make it believe that it is cut off; each change is logged with its evidence. It then forwards requests, over the connections and with the backoff of the hosts that gather parts, to a near host in the regions of the route: one hop, with the time that is left, cancelled with its caller, the response passed on as it is. A request that no host takes is refused at once; so is one that reached no target and could not be forwarded. Requests in progress that may be repeated end with 502 when the belief changes. Probes end it as soon as a target accepts.

--- a/crates/dispatch/src/dispatch_plan.rs
+++ b/crates/dispatch/src/dispatch_plan.rs
@@ -129,6 +129,8 @@
     budget_share: f64,
     /// Whether the plan is for another host.
     is_group: bool,
+    /// Whether another host has counted the request for the retry budgets of its pools.
+    is_counted: bool,
     /// Whether searches of the route are divided into groups.
     is_divided: bool,
     /// Number of shards that were left out at the start because of the limits of their targets.
@@ -223,12 +225,18 @@
             version_draw: rng.random(),
             budget_share: retry_budget_share(view, false, times.arrived),
             is_group: false,
+            is_counted: false,
             is_divided: is_divided(route.shard_count(), &view.part_hosts),
             limited: 0,
             is_closed: false,
         }
     }
 
+    /// Has the request not counted for retry budgets, because the host that forwarded it has done so.
+    pub fn set_counted(&mut self) {
+        self.is_counted = true;
+    }
+
     /// First attempts of all shards but those that other hosts gather; none if too few shards have a target to meet the
     /// minimum of the route.
     ///
@@ -274,7 +282,7 @@
             return Vec::new();
         }
         for shard in shards {
-            if let Some(pool) = &self.shards[*shard].pool {
+            if let Some(pool) = self.shards[*shard].pool.as_ref().filter(|_| !self.is_counted) {
                 pool.state.retry_budget.record_request(&self.view.retry_limits, now);
             }
         }
--- /dev/null
+++ b/crates/dispatch/src/forward_pick.rs
@@ -0,0 +1,44 @@
+//! Selects the host that serves a request in place of one that is cut off from all targets.
+
+use std::time::Duration;
+
+use rand::Rng;
+
+use crate::target_state::TargetDistance;
+
+/// Requests in flight at a near host that make up for the distance to one of another domain or of another region.
+const DISTANCE_COST: [usize; 3] = [0, 4, 8];
+
+/// Time that a reply takes from the other host, by distance.
+const RETURN_TIME: [Duration; 3] =
+    [Duration::from_millis(2), Duration::from_millis(4), Duration::from_millis(15)];
+
+/// Retry-after time if no other host serves the request. The caller's next attempt reaches another host.
+pub const NO_HOST_RETRY_AFTER: Duration = Duration::from_millis(100);
+
+/// Host that may serve a request for this one.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ForwardCandidate {
+    pub distance: TargetDistance,
+    /// Whether the host failed or refused lately.
+    pub is_in_backoff: bool,
+    /// Requests and groups of this host that are in flight there.
+    pub in_flight: usize,
+}
+
+/// The candidate to ask; `None` if all failed or refused lately.
+///
+/// A host takes more requests the nearer it is, but callers of one domain must not overload the few hosts that are left in it.
+pub fn pick_forward_host(candidates: &[ForwardCandidate], rng: &mut impl Rng) -> Option<usize> {
+    let usable = candidates.iter().enumerate().filter(|(_, candidate)| !candidate.is_in_backoff);
+    let ranked = usable.map(|(index, candidate)| {
+        let cost = candidate.in_flight + DISTANCE_COST[candidate.distance as usize];
+        (cost, rng.random::<u32>(), index)
+    });
+    ranked.min().map(|(_, _, index)| index)
+}
+
+/// Time to reserve for the way of the reply from a host at this distance.
+pub fn forward_return_time(distance: TargetDistance) -> Duration {
+    RETURN_TIME[distance as usize]
+}
--- a/crates/dispatch/src/shard_groups.rs
+++ b/crates/dispatch/src/shard_groups.rs
@@ -42,6 +42,9 @@
 /// Backoff of an owner that refused a group because it is busy or leaves: short, because the others get its load meanwhile.
 pub const REFUSAL_BACKOFF: Duration = Duration::from_millis(100);
 
+/// Backoff of a host that is cut off from all targets, which takes seconds as a rule. A refusal costs a round trip only.
+pub const CUT_OFF_BACKOFF: Duration = Duration::from_millis(1000);
+
 /// Upper limit of the backoff of an owner.
 const MAX_OWNER_BACKOFF: Duration = Duration::from_secs(8);
 
--- a/crates/relay/src/connection_table.rs
+++ b/crates/relay/src/connection_table.rs
@@ -1,8 +1,11 @@
 //! Connections to all targets of a view.
 
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use rand::Rng;
+use rand::seq::SliceRandom;
 use vanillapick_dispatch::host_quota::connection_quota;
 use vanillapick_dispatch::serving_view::ServingView;
 use vanillapick_dispatch::target_record::TargetId;
@@ -35,6 +38,17 @@
         Self { targets }
     }
 
+    /// Connections to up to `count` targets, drawn at random and preferably of different pools.
+    pub(crate) fn sample(&self, count: usize, rng: &mut impl Rng) -> Vec<Arc<TargetConnections>> {
+        let mut targets: Vec<_> = self.targets.values().collect();
+        targets.shuffle(rng);
+        let mut pools = BTreeSet::new();
+        let (first, others): (Vec<_>, Vec<_>) =
+            targets.into_iter().partition(|(target, _)| pools.insert(&target.record.pool));
+        let sampled = first.into_iter().chain(others).take(count);
+        sampled.map(|(_, connections)| Arc::clone(connections)).collect()
+    }
+
     /// Returns `None` for a target that is not in the view of this table.
     pub(crate) fn get(&self, target: &TargetState) -> Option<&Arc<TargetConnections>> {
         self.targets.get(&target.record.id).map(|(_, connections)| connections)
--- /dev/null
+++ b/crates/relay/src/forward_client.rs
@@ -0,0 +1,211 @@
+//! Has requests served by other hosts while this one is cut off from all targets.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use http_body_util::Full;
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::header::HOST;
+use vanillapick_dispatch::config_document::RouteContract;
+use vanillapick_dispatch::forward_pick::ForwardCandidate;
+use vanillapick_dispatch::forward_pick::NO_HOST_RETRY_AFTER;
+use vanillapick_dispatch::forward_pick::forward_return_time;
+use vanillapick_dispatch::forward_pick::pick_forward_host;
+use vanillapick_dispatch::target_state::TargetDistance;
+
+use crate::caller_response::ResponseBody;
+use crate::forward_wire::FORWARD_PATH;
+use crate::forward_wire::ForwardRefusal;
+use crate::forward_wire::ForwardReply;
+use crate::forward_wire::ForwardRequest;
+use crate::kept_connection::ExchangeError;
+use crate::part_peers::PartPeer;
+use crate::parts_client::HOST_VALUE;
+use crate::parts_wire::decode_headers;
+use crate::relay_host::RelayHost;
+use crate::relay_host::RelayView;
+
+/// Number of hosts that are asked in turn if they refuse or cannot be reached.
+const MAX_HOSTS_ASKED: usize = 4;
+
+/// Size limit of the fields of a reply other than the body.
+const EXTRA_REPLY_BYTES: usize = 256 << 10;
+
+/// End of a forwarded request.
+#[derive(Debug)]
+pub(crate) enum ForwardResult {
+    /// The response of another host, which becomes that of this one.
+    Answered(Response<ResponseBody>),
+    /// The request has not run; another attempt makes sense after this time.
+    NotRun(Duration),
+    /// The request may have run at the other host.
+    Lost(String),
+}
+
+/// Reason why one host has not answered.
+enum ForwardFailure {
+    /// The request was not sent.
+    NotStarted(String),
+    /// The host refused the request.
+    Refused(ForwardRefusal),
+    /// The request may have run.
+    Lost(String),
+}
+
+/// Sends a request to other hosts in turn until one serves it. `arrived` is when its `elapsed` was zero.
+pub(crate) async fn forward_request(
+    host: &Arc<RelayHost>,
+    view: &Arc<RelayView>,
+    route: &RouteContract,
+    mut request: ForwardRequest,
+    arrived: Duration,
+) -> ForwardResult {
+    let waited = request.elapsed;
+    let mut retry_after = NO_HOST_RETRY_AFTER;
+    for _ in 0..MAX_HOSTS_ASKED {
+        let Some((peer, distance)) = pick_peer(host, view, route) else { break };
+        let now = host.now();
+        let return_time = forward_return_time(distance);
+        request.elapsed = waited + now.saturating_sub(arrived) + return_time;
+        let _in_flight = peer.start_group();
+        match ask(host, &peer, route, &request).await {
+            Ok(response) => {
+                peer.record_success();
+                count("answered");
+                return ForwardResult::Answered(response);
+            }
+            Err(ForwardFailure::Refused(refusal)) => {
+                count(refusal.label());
+                match refusal {
+                    ForwardRefusal::CutOff => peer.record_cut_off(host.now()),
+                    ForwardRefusal::Overloaded(time) => {
+                        retry_after = retry_after.max(time);
+                        peer.record_refusal(host.now());
+                    }
+                    _ => peer.record_refusal(host.now()),
+                }
+            }
+            Err(ForwardFailure::NotStarted(detail)) => {
+                count("not_started");
+                tracing::debug!(host = &*peer.host, detail, "a host cannot be reached");
+                peer.record_failure(host.now());
+            }
+            Err(ForwardFailure::Lost(detail)) => {
+                count("lost");
+                peer.record_failure(host.now());
+                return ForwardResult::Lost(format!("{}: {detail}", peer.host));
+            }
+        }
+    }
+    count("no_host");
+    ForwardResult::NotRun(retry_after)
+}
+
+/// The nearest usable host in a region whose targets may serve the route, because only there the request may be sent.
+fn pick_peer(
+    host: &Arc<RelayHost>,
+    view: &Arc<RelayView>,
+    route: &RouteContract,
+) -> Option<(Arc<PartPeer>, TargetDistance)> {
+    let location = &view.serving.location;
+    let now = host.now();
+    let mut peers = Vec::new();
+    let mut candidates = Vec::new();
+    for (domain, hosts) in &view.serving.part_hosts {
+        if !route.allows_region(location.regions.get(&**domain)) {
+            continue;
+        }
+        let distance = location.distance(domain);
+        for peer in hosts.keys().filter_map(|host| view.part_peers.get(host)) {
+            let state = peer.state(now);
+            let (is_in_backoff, in_flight) = (state.is_in_backoff, state.in_flight);
+            candidates.push(ForwardCandidate { distance, is_in_backoff, in_flight });
+            peers.push(peer);
+        }
+    }
+    let index = pick_forward_host(&candidates, &mut host.rng())?;
+    Some((Arc::clone(peers[index]), candidates[index].distance))
+}
+
+async fn ask(
+    host: &Arc<RelayHost>,
+    peer: &Arc<PartPeer>,
+    route: &RouteContract,
+    request: &ForwardRequest,
+) -> Result<Response<ResponseBody>, ForwardFailure> {
+    let encoded = rmp_serde::to_vec(request);
+    let encoded =
+        Bytes::from(encoded.map_err(|error| ForwardFailure::NotStarted(error.to_string()))?);
+    loop {
+        let idle = peer.take_idle(host.now()).await;
+        let is_new = idle.is_none();
+        let mut connection = match idle {
+            Some(connection) => connection,
+            None => peer.open(host.now()).await.map_err(ForwardFailure::NotStarted)?,
+        };
+        let response = match connection.send(forward_call(encoded.clone())).await {
+            Ok(response) => response,
+            Err(ExchangeError::Unsent) if !is_new => continue,
+            Err(ExchangeError::Unsent) => {
+                let detail = "the host closed the connection".to_owned();
+                return Err(ForwardFailure::NotStarted(detail));
+            }
+            Err(ExchangeError::Lost(detail)) => return Err(ForwardFailure::Lost(detail)),
+        };
+        if response.status() != StatusCode::OK {
+            // Hosts of earlier versions do not know the endpoint.
+            return Err(ForwardFailure::NotStarted(response.status().to_string()));
+        }
+        connection.allow(route.max_reply_bytes() + EXTRA_REPLY_BYTES);
+        let mut body = response.into_body();
+        let mut encoded = BytesMut::new();
+        while let Some(data) =
+            connection.next_data(&mut body).await.map_err(ForwardFailure::Lost)?
+        {
+            encoded.extend_from_slice(&data);
+        }
+        peer.put_idle(connection, host.now()).await;
+        return decode_reply(&encoded, &request.request_id);
+    }
+}
+
+fn decode_reply(
+    encoded: &[u8],
+    expected: &Bytes,
+) -> Result<Response<ResponseBody>, ForwardFailure> {
+    let lost = |detail: &str| ForwardFailure::Lost(detail.to_owned());
+    let reply: ForwardReply =
+        rmp_serde::from_slice(encoded).map_err(|error| ForwardFailure::Lost(error.to_string()))?;
+    let (request_id, status, headers, body) = match reply {
+        ForwardReply::Response { request_id, status, headers, body } => {
+            (request_id, status, headers, body)
+        }
+        ForwardReply::Refused(refusal) => return Err(ForwardFailure::Refused(refusal)),
+    };
+    if request_id != *expected {
+        return Err(lost("the reply belongs to another request"));
+    }
+    let mut response = Response::new(Full::new(body));
+    *response.status_mut() =
+        StatusCode::from_u16(status).map_err(|_| lost("the reply has no valid status"))?;
+    *response.headers_mut() =
+        decode_headers(&headers).ok_or_else(|| lost("the reply has invalid headers"))?;
+    Ok(response)
+}
+
+fn forward_call(body: Bytes) -> Request<Full<Bytes>> {
+    let mut call = Request::new(Full::new(body));
+    *call.method_mut() = Method::POST;
+    *call.uri_mut() = hyper::Uri::from_static(FORWARD_PATH);
+    call.headers_mut().insert(HOST, HOST_VALUE);
+    call
+}
+
+fn count(result: &'static str) {
+    metrics::counter!("vanillapick_forwards_total", "result" => result).increment(1);
+}
--- a/crates/relay/src/part_peers.rs
+++ b/crates/relay/src/part_peers.rs
@@ -12,9 +12,12 @@
 use std::sync::atomic::Ordering::Relaxed;
 use std::time::Duration;
 
+use rand::Rng;
+use rand::seq::SliceRandom;
 use tokio::net::TcpStream;
 use vanillapick_dispatch::host_record::HostId;
 use vanillapick_dispatch::serving_view::ServingView;
+use vanillapick_dispatch::shard_groups::CUT_OFF_BACKOFF;
 use vanillapick_dispatch::shard_groups::OwnerState;
 use vanillapick_dispatch::shard_groups::REFUSAL_BACKOFF;
 use vanillapick_dispatch::shard_groups::owner_backoff;
@@ -78,6 +81,13 @@
     pub(crate) fn get(&self, host: &HostId) -> Option<&Arc<PartPeer>> {
         self.peers.get(host)
     }
+
+    /// Up to `count` hosts, drawn at random.
+    pub(crate) fn sample(&self, count: usize, rng: &mut impl Rng) -> Vec<Arc<PartPeer>> {
+        let mut peers: Vec<&Arc<PartPeer>> = self.peers.values().collect();
+        peers.shuffle(rng);
+        peers.into_iter().take(count).map(Arc::clone).collect()
+    }
 }
 
 impl PartPeer {
@@ -115,11 +125,16 @@
         self.idle().clear();
     }
 
-    /// Excludes the host for a short while, because it refused a group.
+    /// Excludes the host for a short while, because it refused a group or a request.
     pub(crate) fn record_refusal(&self, now: Duration) {
         self.backoff_until_us.fetch_max(micros(now + REFUSAL_BACKOFF), Relaxed);
     }
 
+    /// Excludes the host for longer than after a refusal, because it is cut off from all targets.
+    pub(crate) fn record_cut_off(&self, now: Duration) {
+        self.backoff_until_us.fetch_max(micros(now + CUT_OFF_BACKOFF), Relaxed);
+    }
+
     /// An idle connection that can send a request.
     pub(crate) async fn take_idle(&self, now: Duration) -> Option<KeptConnection> {
         loop {
--- a/crates/relay/src/parts_client.rs
+++ b/crates/relay/src/parts_client.rs
@@ -41,7 +41,7 @@
 const MAX_REPLY_BYTES: usize = 4 << 20;
 
 /// Host name in the head of the calls; the receiver does not use it.
-const HOST_VALUE: HeaderValue = HeaderValue::from_static("peer");
+pub(crate) const HOST_VALUE: HeaderValue = HeaderValue::from_static("peer");
 
 /// Reason why a group was not gathered by another host.
 #[derive(Debug)]
--- a/crates/relay/src/parts_server.rs
+++ b/crates/relay/src/parts_server.rs
@@ -12,6 +12,7 @@
 use futures_util::stream::FuturesUnordered;
 use futures_util::stream::poll_fn;
 use http_body_util::BodyExt;
+use http_body_util::Full;
 use http_body_util::Limited;
 use http_body_util::combinators::BoxBody;
 use hyper::Method;
@@ -38,6 +39,10 @@
 use vanillapick_dispatch::dispatch_plan::RequestTimes;
 use vanillapick_dispatch::gather::greatest_records;
 
+use crate::forward_server::answer_forward;
+use crate::forward_server::answer_reach;
+use crate::forward_wire::FORWARD_PATH;
+use crate::forward_wire::REACH_PATH;
 use crate::parts_wire::PartsMessage;
 use crate::parts_wire::PartsRequest;
 use crate::parts_wire::decode_headers;
@@ -60,7 +65,7 @@
 const READ_BUFFER_BYTES: usize = 16 << 10;
 
 /// Size limit of a request in addition to the largest body of a caller, for its head and the fields of the message.
-const EXTRA_REQUEST_BYTES: usize = 64 << 10;
+pub(crate) const EXTRA_REQUEST_BYTES: usize = 64 << 10;
 
 /// Event loop delay above which groups are refused, so that the sender asks another host. It is a fraction of the shortest
 /// latency objectives.
@@ -119,6 +124,11 @@
 }
 
 async fn answer(host: Arc<RelayHost>, request: Request<Incoming>) -> Response<PartsBody> {
+    match request.uri().path() {
+        FORWARD_PATH => return whole(answer_forward(&host, request).await),
+        REACH_PATH => return whole(answer_reach(&host).await),
+        _ => {}
+    }
     match start(&host, request).await {
         Ok(gathering) => {
             metrics::counter!("vanillapick_groups_gathered_total").increment(1);
@@ -131,13 +141,17 @@
         }
         Err((status, reason)) => {
             metrics::counter!("vanillapick_groups_refused_total", "reason" => reason).increment(1);
-            let mut response = Response::new(BodyExt::boxed(http_body_util::Empty::new()));
+            let mut response = whole(Bytes::new());
             *response.status_mut() = status;
             response
         }
     }
 }
 
+fn whole(body: Bytes) -> Response<PartsBody> {
+    Response::new(BodyExt::boxed(Full::new(body)))
+}
+
 /// Reads a request and prepares its attempts; fails with a status and the reason for the metrics.
 async fn start(
     host: &Arc<RelayHost>,
--- a/crates/relay/src/relay_host.rs
+++ b/crates/relay/src/relay_host.rs
@@ -23,6 +23,7 @@
 use vanillapick_dispatch::crash_guard::CrashGuard;
 use vanillapick_dispatch::crash_guard::RequestFingerprint;
 use vanillapick_dispatch::serving_view::ServingView;
+use vanillapick_dispatch::target_reach::TargetReach;
 use vanillapick_policy::micros::micros;
 use vanillapick_settings::RelaySettings;
 
@@ -54,6 +55,8 @@
     pub moves: MoveTracker,
     /// Recent changes of the store, served to other hosts of the failure domain.
     pub(crate) changes: ChangeLog,
+    /// Whether this host reaches targets.
+    pub(crate) reach: TargetReach,
     /// Memory for the bodies of targets' replies.
     pub(crate) reply_memory: Arc<ReplyMemory>,
     view: ArcSwapOption<RelayView>,
@@ -68,6 +71,8 @@
     is_unregistered: watch::Sender<bool>,
     /// Era of the store that this host has listed last; 0 before the first list.
     store_era: watch::Sender<StoreEra>,
+    /// Notifies requests of changes of [`Self::reach`].
+    cut_off: watch::Sender<bool>,
     /// Time until which a restored store may lack orders that its operators have not written again yet.
     restored_until_us: AtomicU64,
     attempts: AtomicU64,
@@ -119,6 +124,7 @@
             log_limiter: LogLimiter::default(),
             moves: MoveTracker::default(),
             changes: ChangeLog::default(),
+            reach: TargetReach::default(),
             view: ArcSwapOption::empty(),
             started: Instant::now(),
             phase: watch::Sender::new(HostPhase::Serving),
@@ -129,6 +135,7 @@
             is_behind: AtomicBool::new(false),
             is_unregistered: watch::Sender::new(false),
             store_era: watch::Sender::new(0),
+            cut_off: watch::Sender::new(false),
             restored_until_us: AtomicU64::new(0),
             attempts: AtomicU64::new(0),
             loop_delay_us: AtomicU64::new(0),
@@ -185,6 +192,21 @@
         Some(pools.map(|pool| pool.targets.len()).sum())
     }
 
+    /// Tells requests in progress that the belief of [`Self::is_cut_off`] has changed.
+    pub(crate) fn notify_reach(&self) {
+        self.cut_off.send_replace(self.is_cut_off());
+    }
+
+    /// Subscribes to changes of [`Self::is_cut_off`].
+    pub(crate) fn cut_off(&self) -> watch::Receiver<bool> {
+        self.cut_off.subscribe()
+    }
+
+    /// Whether this host believes to be cut off from all targets.
+    pub fn is_cut_off(&self) -> bool {
+        self.reach.is_cut_off()
+    }
+
     /// Number of other hosts that gather parts of searches for this one.
     pub fn part_host_count(&self) -> usize {
         self.view.load().as_ref().map_or(0, |view| view.part_peers.len())
--- a/crates/relay/src/relay_server.rs
+++ b/crates/relay/src/relay_server.rs
@@ -25,6 +25,7 @@
 use crate::move_tracker::run_moves;
 use crate::parts_server::serve_parts;
 use crate::peer_changes::serve_changes;
+use crate::reach_monitor::watch_target_reach;
 use crate::relay_host::RelayHost;
 use crate::store_client::StoreClient;
 use crate::store_follower::follow_store;
@@ -71,6 +72,7 @@
             tokio::spawn(measure_loop_delay(Arc::clone(&host))),
             tokio::spawn(report_dropped_lines(Arc::clone(&host))),
             tokio::spawn(report_budgets(Arc::clone(&host))),
+            tokio::spawn(watch_target_reach(Arc::clone(&host))),
         ];
         Ok(Self { host, address, tasks })
     }
--- a/crates/relay/src/request_flow.rs
+++ b/crates/relay/src/request_flow.rs
@@ -21,6 +21,7 @@
 use rand::rngs::SmallRng;
 use vanillapick_dispatch::admission::admit;
 use vanillapick_dispatch::attempt::AttemptOutcome;
+use vanillapick_dispatch::attempt::NotRunCause;
 use vanillapick_dispatch::attempt::SendCommand;
 use vanillapick_dispatch::config_document::RouteContract;
 use vanillapick_dispatch::config_document::RoutePools;
@@ -55,8 +56,12 @@
 use crate::target_attempt::run_attempt;
 use crate::wire::CallerRequestHead;
 
+mod forward_flow;
 mod group_flow;
 
+pub(crate) use self::forward_flow::ForwardedCall;
+pub(crate) use self::forward_flow::serve_forwarded;
+
 /// Time before the latency objective at which a response is sent. Callers measure from before they connect, so this covers two
 /// round trips of 6 ms to the farthest caller and the processing of the response.
 const LATENCY_OBJECTIVE_MARGIN: Duration = Duration::from_millis(15);
@@ -136,11 +141,49 @@
             return local_response(StatusCode::BAD_REQUEST, "the body is cut\n");
         }
     };
-    if let Some(fingerprint) = refused_fingerprint(&host, &parts, &body) {
+    let request = ReadRequest { head, parts, body, arrived, lag, origin: RequestOrigin::Caller };
+    serve_read(&host, view, route, request, running).await
+}
+
+/// A request whose body has been read.
+struct ReadRequest {
+    head: CallerRequestHead,
+    parts: Parts,
+    body: Bytes,
+    arrived: Duration,
+    /// Time for which the request may have waited in its socket before it was read.
+    lag: Duration,
+    origin: RequestOrigin,
+}
+
+/// Where a request comes from.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum RequestOrigin {
+    /// A caller is connected to this host.
+    Caller,
+    /// Another host has forwarded the request, so that it is not forwarded again.
+    Host {
+        /// Whether that host has counted the request for the retry budgets of its pools.
+        is_counted: bool,
+    },
+}
+
+/// Serves a request on `route`, which this host has admitted.
+async fn serve_read(
+    host: &Arc<RelayHost>,
+    view: Arc<RelayView>,
+    route: Arc<RouteContract>,
+    request: ReadRequest,
+    running: RunningRequest,
+) -> Response<ResponseBody> {
+    let wire = host.wire.caller;
+    let ReadRequest { head, parts, body, arrived, lag, .. } = &request;
+    let (arrived, lag) = (*arrived, *lag);
+    if let Some(fingerprint) = refused_fingerprint(host, parts, body) {
         count_refusal("crashing_request");
         if host.log_limiter.allows(arrived) {
             tracing::info!(
-                request_id = request_id_str(&head),
+                request_id = request_id_str(head),
                 route = &*route.id,
                 print = format!("{fingerprint:016x}"),
                 "request refused: it crashes targets"
@@ -161,11 +204,11 @@
                 .saturating_sub(LATENCY_OBJECTIVE_MARGIN + host.wake_lateness()),
         deadline: arrived + timeout.min(route.timeout).saturating_sub(TIMEOUT_MARGIN + lag),
     };
-    if timeout < MIN_TIMEOUT + lag {
+    if (arrived + timeout).saturating_sub(host.now()) < MIN_TIMEOUT + lag {
         count_refusal("no_time");
         return not_run_response(&wire, Duration::ZERO, "no time is left\n");
     }
-    let flow = RequestFlow::new(&host, view, route, head, parts, body, times, timeout, lag);
+    let flow = RequestFlow::new(host, view, route, request, times, timeout);
     flow.run(running).await
 }
 
@@ -232,28 +275,28 @@
     /// One entry for each attempt without an answer, for the log.
     failures: Vec<String>,
     has_lost_target: bool,
+    /// Whether an attempt may have reached a target.
+    has_reached_target: bool,
+    origin: RequestOrigin,
     /// Time for which the request may have waited in its socket before it was read.
     lag: Duration,
 }
 
 impl RequestFlow {
-    #[expect(
-        clippy::too_many_arguments,
-        reason = "these parts of a request are combined only here"
-    )]
     fn new(
         host: &Arc<RelayHost>,
         view: Arc<RelayView>,
         route: Arc<RouteContract>,
-        head: CallerRequestHead,
-        parts: Parts,
-        body: Bytes,
+        request: ReadRequest,
         times: RequestTimes,
         timeout: Duration,
-        lag: Duration,
     ) -> Self {
+        let ReadRequest { head, parts, body, lag, origin, .. } = request;
         let mut rng = host.rng();
-        let plan = DispatchPlan::new(&route, &view.serving, times, &mut rng);
+        let mut plan = DispatchPlan::new(&route, &view.serving, times, &mut rng);
+        if origin == (RequestOrigin::Host { is_counted: true }) {
+            plan.set_counted();
+        }
         let mut headers = parts.headers;
         remove_hop_by_hop_headers(&mut headers);
         headers.remove(EXPECT);
@@ -282,6 +325,8 @@
             replies: Vec::new(),
             failures: Vec::new(),
             has_lost_target: false,
+            has_reached_target: false,
+            origin,
             lag,
         }
     }
@@ -289,6 +334,12 @@
     async fn run(mut self, running: RunningRequest) -> Response<ResponseBody> {
         let host = Arc::clone(&self.request.host);
         let cancel_guard = CancelGuard::new(&host, &self.request.request_id, &self.route);
+        let mut cut_off = host.cut_off();
+        if self.may_forward() && host.is_cut_off() {
+            let response = self.forward(false).await;
+            cancel_guard.finish();
+            return response;
+        }
         self.groups = self.plan.choose_groups(&host.settings.domain, &host.settings.host);
         let commands = self.plan.start(&self.groups, host.now(), &mut self.rng);
         count_limited_shards(self.plan.limited_count());
@@ -303,6 +354,11 @@
             tokio::select! {
                 Some(result) = self.attempts.next() => self.on_result(result),
                 Some((group, progress)) = self.gathering.next() => self.on_progress(group, progress),
+                Ok(()) = cut_off.changed() => {
+                    if let Some(verdict) = self.verdict_if_cut_off() {
+                        break verdict;
+                    }
+                }
                 () = tokio::time::sleep(wake.saturating_sub(now)) => {
                     host.record_wake_lateness(host.now().saturating_sub(wake));
                     let commands = self.plan.on_wake(host.now(), &mut self.rng);
@@ -310,8 +366,11 @@
                 }
             }
         };
+        let is_unreached = verdict == PlanVerdict::NotRun(RefusalCause::TargetsFull)
+            && !self.has_reached_target
+            && self.may_forward();
+        let response = if is_unreached { self.forward(true).await } else { self.answer(verdict) };
         cancel_guard.finish();
-        let response = self.answer(verdict);
         self.drain_attempts();
         drop(running);
         response
@@ -328,6 +387,7 @@
         let now = self.request.host.now();
         let AttemptResult { attempt, outcome, reply, detail } = result;
         self.record_crash_evidence(outcome);
+        self.has_reached_target |= outcome != AttemptOutcome::NotRun(NotRunCause::Unreachable);
         if self.plan.is_pool_moving(attempt) {
             let target = self.plan.target(attempt);
             let latency = now.saturating_sub(self.plan.sent_at(attempt));
--- a/crates/relay/src/target_attempt.rs
+++ b/crates/relay/src/target_attempt.rs
@@ -84,6 +84,7 @@
     let ended = |outcome, reply, detail| AttemptResult { attempt, outcome, reply, detail };
     let started = host.now();
     target.record_sent(started);
+    host.reach.record_sent(&target.record);
     let _in_flight = AttemptInFlight(Arc::clone(&target));
     let Some(connections) = request.view.connections.get(&target) else {
         let detail = Some("the target is not in the connection table".to_owned());
@@ -93,7 +94,10 @@
         ReplyLimits { max_bytes: request.max_reply_bytes, memory: Arc::clone(&host.reply_memory) };
     let reply = connections.call(|| request.call(&target), &limits, || host.now()).await;
     let (parts, body) = match reply {
-        Ok(reply) => reply,
+        Ok(reply) => {
+            host.reach.record_reply(host.now());
+            reply
+        }
         Err(error) => {
             let outcome = match error {
                 CallError::Unreachable { .. } => AttemptOutcome::NotRun(NotRunCause::Unreachable),
--- a/crates/relay/src/target_connections.rs
+++ b/crates/relay/src/target_connections.rs
@@ -153,6 +153,24 @@
         }
     }
 
+    /// Opens a new connection, in place of an idle one if there is any, and keeps it; returns whether the target accepted it
+    /// within `timeout`. `None` if this host's share of connections is in use.
+    pub(crate) async fn probe(
+        &self,
+        timeout: Duration,
+        now: impl Fn() -> Duration,
+    ) -> Option<bool> {
+        let _permit = self.permits.try_acquire().ok()?;
+        drop(self.pop_idle());
+        match tokio::time::timeout(timeout, self.open(now())).await {
+            Ok(Ok(connection)) => {
+                self.put_idle(connection, &HeaderMap::new(), now()).await;
+                Some(true)
+            }
+            Ok(Err(_)) | Err(_) => Some(false),
+        }
+    }
+
     async fn take_idle(&self, now: Duration) -> Option<KeptConnection> {
         loop {
             let mut connection = self.pop_idle()?;
