A host that is cut off from all targets gathers no groups for others

Cause: owners of groups that are cut off accepted groups, and answered late or not at all. The next search asked them again.

Change: a host that believes to be cut off refuses groups at once and says why.

--- a/crates/relay/src/parts_client.rs
+++ b/crates/relay/src/parts_client.rs
@@ -18,6 +18,7 @@
 use crate::kept_connection::KeptConnection;
 use crate::part_peers::GroupInFlight;
 use crate::part_peers::PartPeer;
+use crate::parts_wire::CUT_OFF_HEADER;
 use crate::parts_wire::MessageReader;
 use crate::parts_wire::PARTS_PATH;
 use crate::parts_wire::PartsMessage;
@@ -50,6 +51,8 @@
     NotStarted(String),
     /// The host refused the group because it is busy, leaves or has another configuration.
     Refused(StatusCode),
+    /// The host is cut off from all targets.
+    CutOff,
     /// A host may have sent attempts, at most one for each shard if no message has arrived.
     Lost(String),
     /// Two hosts in turn may have sent attempts.
@@ -116,6 +119,7 @@
         };
         match failure {
             GroupFailure::Refused(_) => peer.record_refusal(host.now()),
+            GroupFailure::CutOff => peer.record_cut_off(host.now()),
             _ => peer.record_failure(host.now()),
         }
         tracing::debug!(host = &*peer.host, ?failure, "a host does not gather a group");
@@ -165,8 +169,10 @@
         };
         if response.status() != StatusCode::OK {
             let status = response.status();
+            let is_cut_off = response.headers().contains_key(CUT_OFF_HEADER);
             peer.put_idle(connection, host.now()).await;
-            return Err(GroupFailure::Refused(status));
+            let refused = GroupFailure::Refused(status);
+            return Err(if is_cut_off { GroupFailure::CutOff } else { refused });
         }
         connection.allow(MAX_REPLY_BYTES);
         let call = GroupCall {
--- a/crates/relay/src/parts_server.rs
+++ b/crates/relay/src/parts_server.rs
@@ -43,6 +43,7 @@
 use crate::forward_server::answer_reach;
 use crate::forward_wire::FORWARD_PATH;
 use crate::forward_wire::REACH_PATH;
+use crate::parts_wire::CUT_OFF_HEADER;
 use crate::parts_wire::PartsMessage;
 use crate::parts_wire::PartsRequest;
 use crate::parts_wire::decode_headers;
@@ -74,6 +75,9 @@
 /// Time before the soft deadline of the search at which parts must be on their way.
 const SOFT_DEADLINE_MARGIN: Duration = Duration::from_millis(4);
 
+/// Reason of a refusal for the metrics, of which the sender is told.
+const CUT_OFF: &str = "cut_off";
+
 /// Messages that wait to be written to a slow receiver.
 const MESSAGE_QUEUE: usize = 4;
 
@@ -143,6 +147,10 @@
             metrics::counter!("vanillapick_groups_refused_total", "reason" => reason).increment(1);
             let mut response = whole(Bytes::new());
             *response.status_mut() = status;
+            if reason == CUT_OFF {
+                let value = HeaderValue::from_static("1");
+                response.headers_mut().insert(CUT_OFF_HEADER, value);
+            }
             response
         }
     }
@@ -160,6 +168,9 @@
     if *host.phase().borrow() != HostPhase::Serving {
         return Err((StatusCode::SERVICE_UNAVAILABLE, "leaving"));
     }
+    if host.is_cut_off() {
+        return Err((StatusCode::SERVICE_UNAVAILABLE, CUT_OFF));
+    }
     if MAX_LOOP_DELAY < host.read_lag() {
         return Err((StatusCode::SERVICE_UNAVAILABLE, "overloaded"));
     }
--- a/crates/relay/src/parts_wire.rs
+++ b/crates/relay/src/parts_wire.rs
@@ -19,6 +19,9 @@
 /// Path of the endpoint.
 pub(crate) const PARTS_PATH: &str = "/parts";
 
+/// Header of the refusal of a host that is cut off from all targets.
+pub(crate) const CUT_OFF_HEADER: HeaderName = HeaderName::from_static("cut-off");
+
 /// Size limit of one message. A message has a stamp for each shard of a group and the records of one response.
 const MAX_MESSAGE_BYTES: usize = 1 << 20;
 
--- a/crates/relay/src/request_flow/group_flow.rs
+++ b/crates/relay/src/request_flow/group_flow.rs
@@ -96,6 +96,7 @@
         let (label, may_have_run, detail) = match failure {
             GroupFailure::NotStarted(detail) => ("not_started", false, detail),
             GroupFailure::Refused(status) => ("refused", false, status.to_string()),
+            GroupFailure::CutOff => ("cut_off", false, "the owner is cut off".to_owned()),
             GroupFailure::Lost(detail) => ("lost", true, detail),
             GroupFailure::Exhausted(detail) => ("exhausted", true, detail),
         };
