Targets that say they leave, or ask for a pause, get no more requests

Change: a target that says it is leaving is the last choice at once and gets nothing more after 1 s: it serves for longer than that, which callers need if the store has not named its replacement yet. A target that asks for a pause gets nothing from this host until it ends. If no target of enough shards takes a request, it is refused before anything is sent, with the time of the earliest end.

--- a/crates/dispatch/src/dispatch_plan.rs
+++ b/crates/dispatch/src/dispatch_plan.rs
@@ -95,7 +95,7 @@
     NoTarget,
     /// All targets were at capacity or unreachable.
     TargetsFull,
-    /// All targets of too many shards are at the limits that they name.
+    /// All targets of too many shards are at the limits that they name, or want no requests for some time.
     TargetsLimited,
 }
 
@@ -553,7 +553,8 @@
     fn has_target(&self, shard: &ShardState, now: Duration) -> bool {
         let mut targets = shard.pool.iter().flat_map(|pool| &pool.targets);
         targets.any(|target| {
-            self.route.allows_region(target.region.as_ref()) && !target.is_misdirected(now)
+            let is_usable = !target.is_misdirected(now) && !target.has_left(now);
+            is_usable && self.route.allows_region(target.region.as_ref())
         })
     }
 
@@ -660,6 +661,7 @@
         let is_disallowed = |target: &TargetState| {
             !self.route.allows_region(target.region.as_ref())
                 || target.is_misdirected(now)
+                || target.has_left(now)
                 || !self.has_turn(shard, target, now)
                 || !pool.version_split.allows(
                     target,
--- a/crates/dispatch/src/dispatch_plan/limit_plan.rs
+++ b/crates/dispatch/src/dispatch_plan/limit_plan.rs
@@ -1,4 +1,4 @@
-//! The part of a plan that concerns targets which name a limit on requests.
+//! The part of a plan that concerns targets which name a limit on requests, or want none for some time.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -17,9 +17,9 @@
 const OWNERS_LIMIT_FRACTION: f64 = 0.75;
 
 impl DispatchPlan {
-    /// Whether the target names no limit, or has a turn for this request.
+    /// Whether the target takes this request now: it wants requests, and names no limit or has a turn.
     pub(super) fn has_turn(&self, shard: usize, target: &TargetState, now: Duration) -> bool {
-        !target.request_limit.is_named() || self.turn_delay(shard, target, now).is_zero()
+        self.turn_delay(shard, target, now).is_zero()
     }
 
     /// Claim of this request on the turns of a target.
@@ -33,10 +33,14 @@
     }
 
     fn turn_delay(&self, shard: usize, target: &TargetState, now: Duration) -> Duration {
-        target.request_limit.turn_delay(self.turn_claim(shard, target), now)
+        let paused = target.paused_for(now);
+        if !target.request_limit.is_named() {
+            return paused;
+        }
+        paused.max(target.request_limit.turn_delay(self.turn_claim(shard, target), now))
     }
 
-    /// Shards of this host for which all targets are at the limits that they name.
+    /// Shards of this host for which no target takes a request now.
     pub(super) fn limited_shards(&self, now: Duration) -> Vec<usize> {
         let shards = (0..self.shards.len()).filter(|shard| !self.is_gathered(*shard));
         shards
@@ -44,24 +48,25 @@
             .collect()
     }
 
-    /// Time until a target of the shard has a turn; `None` if it has no target.
+    /// Time until a target of the shard takes a request; `None` if it has no target.
     fn shard_delay(&self, shard: usize, now: Duration) -> Option<Duration> {
         let targets = self.shards[shard].pool.iter().flat_map(|pool| &pool.targets);
         let allowed = targets.filter(|target| {
-            self.route.allows_region(target.region.as_ref()) && !target.is_misdirected(now)
+            let is_usable = !target.is_misdirected(now) && !target.has_left(now);
+            is_usable && self.route.allows_region(target.region.as_ref())
         });
         let mut least = None;
         for target in allowed {
-            if !target.request_limit.is_named() {
-                return Some(Duration::ZERO);
-            }
             let delay = self.turn_delay(shard, target, now);
+            if delay.is_zero() {
+                return Some(delay);
+            }
             least = Some(least.map_or(delay, |least: Duration| least.min(delay)));
         }
         least
     }
 
-    /// Number of shards that were left out because all of their targets are at the limits that they name.
+    /// Number of shards that were left out because none of their targets took a request.
     pub fn limited_count(&self) -> usize {
         self.limited
     }
--- a/crates/dispatch/src/target_pick.rs
+++ b/crates/dispatch/src/target_pick.rs
@@ -25,7 +25,7 @@
 /// Cost of a failed attempt: the time until another target has answered.
 const FAILURE_PENALTY: Duration = Duration::from_millis(60);
 
-/// Penalty of a target in backoff, high enough that it is used only if there is no other.
+/// Penalty of a target that is in backoff or leaving, high enough that it is used only if there is no other.
 const BACKOFF_PENALTY: Duration = Duration::from_secs(10);
 
 /// Multiple of the typical latency from which a target counts as slow; the usual differences between targets are
@@ -121,7 +121,7 @@
     if is_stalled(target, context) {
         cost += STALL_PENALTY;
     }
-    if target.is_in_backoff(now) {
+    if target.is_in_backoff(now) || target.is_leaving() {
         cost += BACKOFF_PENALTY;
     }
     cost
--- a/crates/dispatch/src/target_state.rs
+++ b/crates/dispatch/src/target_state.rs
@@ -61,6 +61,10 @@
 /// only so that the target is gone; each further call would be a useless one for the target that has the address now.
 const MISDIRECTED_EXCLUSION: Duration = Duration::from_secs(10);
 
+/// Time for which a target that says it is leaving is still used if there is no other. It serves for longer, but must not get
+/// requests for much longer than the store would take to say so.
+const LEAVING_USE: Duration = Duration::from_secs(1);
+
 /// State of one target instance; a restart creates a new one.
 #[derive(Debug)]
 pub struct TargetState {
@@ -82,6 +86,10 @@
     last_sample_us: AtomicU64,
     backoff_until_us: AtomicU64,
     misdirected_until_us: AtomicU64,
+    /// Time until which the target wants no requests of this host.
+    paused_until_us: AtomicU64,
+    /// When the target first said that it is leaving; 0 if it has not.
+    leaving_since_us: AtomicU64,
     consecutive_losses: AtomicU32,
     idle_connections: AtomicU32,
     cold_until_us: AtomicU64,
@@ -111,6 +119,8 @@
             last_sample_us: AtomicU64::new(micros(now)),
             backoff_until_us: AtomicU64::new(0),
             misdirected_until_us: AtomicU64::new(0),
+            paused_until_us: AtomicU64::new(0),
+            leaving_since_us: AtomicU64::new(0),
             consecutive_losses: AtomicU32::new(0),
             idle_connections: AtomicU32::new(0),
             cold_until_us: AtomicU64::new(cold_until),
@@ -218,6 +228,33 @@
         micros(now) < self.misdirected_until_us.load(Relaxed)
     }
 
+    /// Records that the target wants no requests of this host until `until`; returns whether it wanted some before.
+    pub fn pause(&self, until: Duration, now: Duration) -> bool {
+        self.paused_until_us.fetch_max(micros(until), Relaxed) <= micros(now)
+    }
+
+    /// Time for which the target wants no more requests of this host.
+    pub fn paused_for(&self, now: Duration) -> Duration {
+        Duration::from_micros(self.paused_until_us.load(Relaxed).saturating_sub(micros(now)))
+    }
+
+    /// Records that the target says it is leaving; returns whether this is new.
+    pub fn record_leaving(&self, now: Duration) -> bool {
+        let now = micros(now).max(1);
+        self.leaving_since_us.compare_exchange(0, now, Relaxed, Relaxed).is_ok()
+    }
+
+    /// Whether the target says that it is leaving.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving_since_us.load(Relaxed) > 0
+    }
+
+    /// Whether the target must get no more requests, because it said some time ago that it is leaving.
+    pub fn has_left(&self, now: Duration) -> bool {
+        let since = self.leaving_since_us.load(Relaxed);
+        since > 0 && since + micros(LEAVING_USE) <= micros(now)
+    }
+
     /// Whether the target is in backoff after a lost or shed attempt.
     pub fn is_in_backoff(&self, now: Duration) -> bool {
         micros(now) < self.backoff_until_us.load(Relaxed)
--- a/crates/relay/src/target_attempt.rs
+++ b/crates/relay/src/target_attempt.rs
@@ -23,6 +23,7 @@
 use crate::relay_host::RelayHost;
 use crate::relay_host::RelayView;
 use crate::request_limits::record_limit;
+use crate::request_limits::record_requests;
 use crate::target_connections::CallError;
 use crate::wire::TargetCallHead;
 use crate::wire::TargetReplyKind;
@@ -113,8 +114,11 @@
         reading,
         TargetReplyKind::Invalid(_) | TargetReplyKind::NotRun(NotRunCause::Misdirected)
     );
-    if is_own && let Ok(rate) = (host.wire.target.read_limit)(&parts.headers) {
-        record_limit(host, &target, rate, started);
+    if is_own {
+        if let Ok(rate) = (host.wire.target.read_limit)(&parts.headers) {
+            record_limit(host, &target, rate, started);
+        }
+        record_requests(host, &target, parts.status, &parts.headers);
     }
     let (outcome, stamp) = match reading {
         TargetReplyKind::Success(stamp) => (AttemptOutcome::Answered, Some(stamp)),
--- a/crates/relay/src/wire.rs
+++ b/crates/relay/src/wire.rs
@@ -66,6 +66,10 @@
     pub read_head: fn(StatusCode, &HeaderMap, &HeaderValue) -> TargetReplyKind,
     /// Reads the requests per second that the target takes from all hosts together, if its reply names them.
     pub read_limit: fn(&HeaderMap) -> Result<Option<f64>, InvalidLimit>,
+    /// Whether the target says that it is leaving.
+    pub read_leaving: fn(&HeaderMap) -> bool,
+    /// Reads for how long a target that turns a request away wants no other of this host, if it says so.
+    pub read_pause: fn(StatusCode, &HeaderMap) -> Option<Duration>,
 }
 
 /// A target's reply names a limit that is not a number of requests per second.
