A stop ends no request without an answer, and refuses those that it cannot end

Cause: the process exits 5.5 s after SIGTERM whatever time its requests have; routes there have 4 s, and requests are read until 2.8 s. From then on connections were refused, although the host ran until its slow requests had ended and a balancer without a better host sent callers to it. A connection accepted in the last 0.3 s was closed before its first request was read.

Change: requests that run shortly before the exit get their answer then. A request whose targets are not expected to answer before is refused while its caller can repeat it. Connections are accepted while requests run, and serve one request.

The entry program waits for running requests without a bound of its own, and is not changed.

--- a/crates/dispatch/src/dispatch_plan.rs
+++ b/crates/dispatch/src/dispatch_plan.rs
@@ -534,6 +534,19 @@
         slow.into_iter().rev().take(spare).map(|(_, shard)| shard).collect()
     }
 
+    /// Expected time until enough shards have answered, with the attempts that this host has in flight.
+    pub fn expected_time(&self, now: Duration) -> Duration {
+        let mut times: Vec<Duration> = Vec::with_capacity(self.shards.len());
+        for pool in self.shards.iter().filter_map(|shard| shard.pool.as_ref()) {
+            let context = self.context(pool, now);
+            let targets = pool.targets.iter();
+            let allowed = targets.filter(|target| self.route.allows_region(target.region.as_ref()));
+            times.extend(allowed.map(|target| queued_latency(target, &context)).min());
+        }
+        times.sort_unstable();
+        times.get(self.min_shards.saturating_sub(1)).copied().unwrap_or_default()
+    }
+
     /// Lowest expected latency among the targets of a shard, including the queue of this host's attempts in flight.
     /// `None` if a target has capacity for an attempt that is answered within `limit`.
     fn min_queued_latency(&self, shard: usize, limit: Duration, now: Duration) -> Option<Duration> {
--- a/crates/relay/src/caller_server.rs
+++ b/crates/relay/src/caller_server.rs
@@ -3,6 +3,7 @@
 use std::convert::Infallible;
 use std::pin::pin;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering::Relaxed;
@@ -31,6 +32,9 @@
 /// Idle timeout of caller connections until a configuration is known.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
+/// Time for the first request of a connection that is accepted while the host closes connections.
+const FIRST_REQUEST_TIME: Duration = Duration::from_millis(300);
+
 /// Read buffer of a caller connection until a configuration sets the size of a request head, and its lower limit after
 /// that.
 const MIN_READ_BUFFER_BYTES: usize = 8 << 10;
@@ -82,6 +86,8 @@
 /// Request activity of one connection, for the idle timeout.
 #[derive(Default)]
 struct ConnectionActivity {
+    /// Whether a request has been read.
+    has_request: AtomicBool,
     requests: AtomicUsize,
     /// End of the last request, in microseconds since the start of the process.
     idle_since_us: AtomicU64,
@@ -100,6 +106,7 @@
         let host = Arc::clone(&host);
         let activity = Arc::clone(&activity);
         async move {
+            activity.has_request.store(true, Relaxed);
             activity.requests.fetch_add(1, Relaxed);
             let mut response = serve_request(Arc::clone(&host), request).await;
             activity.requests.fetch_sub(1, Relaxed);
@@ -119,8 +126,16 @@
     let mut server = pin!(server);
     let mut phase = host.phase();
     loop {
-        let idle_time =
-            host.view().map_or(DEFAULT_IDLE_TIMEOUT, |view| view.serving.limits.idle_timeout);
+        let is_closing = *phase.borrow_and_update() >= HostPhase::Closing;
+        // Closing a connection before its first request would cost the caller an attempt; the response closes it as well.
+        if is_closing && activity.has_request.load(Relaxed) {
+            break;
+        }
+        let idle_time = match host.view() {
+            _ if is_closing => FIRST_REQUEST_TIME,
+            Some(view) => view.serving.limits.idle_timeout,
+            None => DEFAULT_IDLE_TIMEOUT,
+        };
         let idle_since = Duration::from_micros(activity.idle_since_us.load(Relaxed));
         let is_busy = activity.requests.load(Relaxed) > 0;
         let idle_until = if is_busy { host.now() } else { idle_since } + idle_time;
@@ -131,7 +146,8 @@
                 }
                 return;
             }
-            _ = phase.wait_for(|phase| *phase >= HostPhase::Closing) => break,
+            // An error does not occur, because the sender lives as long as the host.
+            _ = phase.changed() => {}
             () = tokio::time::sleep(idle_until.saturating_sub(host.now())) => {
                 let idle_since = Duration::from_micros(activity.idle_since_us.load(Relaxed));
                 let is_idle = activity.requests.load(Relaxed) == 0;
--- a/crates/relay/src/graceful_shutdown.rs
+++ b/crates/relay/src/graceful_shutdown.rs
@@ -9,9 +9,12 @@
 /// Time until the balancer has noticed that the host is not ready: two readiness checks a second apart, and their latency.
 const BALANCER_DETECTION_TIME: Duration = Duration::from_millis(2500);
 
-/// Time for which connections are still accepted afterwards, so that requests in transit are read.
+/// Minimum time for which connections are still accepted afterwards, so that requests in transit are read.
 const CLOSING_TIME: Duration = Duration::from_millis(300);
 
+/// Time before the exit at which connections are no longer accepted, even if requests are still running.
+const LISTEN_MARGIN: Duration = Duration::from_millis(300);
+
 /// Time before the platform kills the process at which it exits by itself.
 const SHUTDOWN_MARGIN: Duration = Duration::from_millis(500);
 
@@ -22,10 +25,15 @@
 pub(crate) async fn shut_down(host: &Arc<RelayHost>) {
     let ends_at = host.now() + host.settings.stop_grace().saturating_sub(SHUTDOWN_MARGIN);
     tracing::info!(running = host.running(), "host is leaving");
+    host.set_exit(ends_at);
     host.set_phase(HostPhase::Leaving);
     tokio::time::sleep(BALANCER_DETECTION_TIME).await;
     host.set_phase(HostPhase::Closing);
     tokio::time::sleep(CLOSING_TIME).await;
+    // A balancer without a better host goes on sending callers here.
+    while host.running() > 0 && host.now() + LISTEN_MARGIN < ends_at {
+        tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
+    }
     // The sleep before the first check lets the accepting task end, and a connection closes once its response is written.
     // So no request can arrive between the last check and the end of the process.
     host.set_phase(HostPhase::Draining);
--- a/crates/relay/src/relay_host.rs
+++ b/crates/relay/src/relay_host.rs
@@ -41,6 +41,9 @@
 /// responding earlier does not help.
 const MAX_WAKE_LATENESS: Duration = Duration::from_millis(20);
 
+/// Time before the exit of the process at which responses are sent, so that they reach their callers.
+const LAST_RESPONSE_MARGIN: Duration = Duration::from_millis(150);
+
 /// Shared state of one host. Requests read the current view by read-copy-update.
 pub struct RelayHost {
     /// Fixed for the lifetime of the process.
@@ -62,6 +65,8 @@
     view: ArcSwapOption<RelayView>,
     started: Instant,
     phase: watch::Sender<HostPhase>,
+    /// When the process exits, in microseconds since its start; the maximum unless it is shutting down.
+    exit_us: AtomicU64,
     running: AtomicUsize,
     connections: AtomicUsize,
     has_served: AtomicBool,
@@ -128,6 +133,7 @@
             view: ArcSwapOption::empty(),
             started: Instant::now(),
             phase: watch::Sender::new(HostPhase::Serving),
+            exit_us: AtomicU64::new(u64::MAX),
             running: AtomicUsize::new(0),
             connections: AtomicUsize::new(0),
             has_served: AtomicBool::new(false),
@@ -236,6 +242,25 @@
         self.phase.send_replace(phase);
     }
 
+    /// Records when the process exits; called before [`HostPhase::Leaving`].
+    pub(crate) fn set_exit(&self, at: Duration) {
+        self.exit_us.store(micros(at), Relaxed);
+    }
+
+    /// Latest time at which a response can be sent before the process exits; `None` unless it is shutting down.
+    pub(crate) fn last_response(&self) -> Option<Duration> {
+        let exit = Some(self.exit_us.load(Relaxed)).filter(|exit| *exit < u64::MAX)?;
+        Some(Duration::from_micros(exit).saturating_sub(LAST_RESPONSE_MARGIN))
+    }
+
+    /// Waits until responses must be sent, because the process exits.
+    pub(crate) async fn wait_for_last_response(&self) {
+        // An error does not occur, because the sender lives as long as the host.
+        let _ = self.phase().wait_for(|phase| *phase != HostPhase::Serving).await;
+        let at = self.last_response().unwrap_or(Duration::MAX);
+        tokio::time::sleep(at.saturating_sub(self.now())).await;
+    }
+
     /// Number of requests in progress.
     pub fn running(&self) -> usize {
         self.running.load(Relaxed)
--- a/crates/relay/src/request_flow.rs
+++ b/crates/relay/src/request_flow.rs
@@ -76,6 +76,9 @@
 /// a pause of a target.
 pub(crate) const UNUSED_ATTEMPT_GRACE: Duration = Duration::from_millis(250);
 
+/// Time that a request must have until the exit of the process, as a multiple of its expected time.
+const SHUTDOWN_HEADROOM_FACTOR: f64 = 1.5;
+
 /// Retry-after time if no target is in service.
 const NO_TARGET_RETRY_AFTER: Duration = Duration::from_millis(150);
 
@@ -334,6 +337,11 @@
     async fn run(mut self, running: RunningRequest) -> Response<ResponseBody> {
         let host = Arc::clone(&self.request.host);
         let cancel_guard = CancelGuard::new(&host, &self.request.request_id, &self.route);
+        if self.outlasts_shutdown() {
+            count_refusal("leaving");
+            cancel_guard.finish();
+            return not_run_response(&host.wire.caller, Duration::ZERO, "the host is leaving\n");
+        }
         let mut cut_off = host.cut_off();
         if self.may_forward() && host.is_cut_off() {
             let response = self.forward(false).await;
@@ -345,6 +353,7 @@
         count_limited_shards(self.plan.limited_count());
         self.send(commands);
         self.send_groups();
+        let mut last_response = std::pin::pin!(host.wait_for_last_response());
         let verdict = loop {
             let now = host.now();
             if let Some(verdict) = self.plan.verdict(now) {
@@ -354,6 +363,11 @@
             tokio::select! {
                 Some(result) = self.attempts.next() => self.on_result(result),
                 Some((group, progress)) = self.gathering.next() => self.on_progress(group, progress),
+                () = &mut last_response => {
+                    if let Some(verdict) = self.plan.verdict(self.times.deadline) {
+                        break verdict;
+                    }
+                }
                 Ok(()) = cut_off.changed() => {
                     if let Some(verdict) = self.verdict_if_cut_off() {
                         break verdict;
@@ -376,6 +390,15 @@
         response
     }
 
+    /// Whether the host is shutting down and its targets are not expected to answer the request before the process exits. Another
+    /// host has more time.
+    fn outlasts_shutdown(&self) -> bool {
+        let host = &self.request.host;
+        let Some(last_response) = host.last_response() else { return false };
+        let now = host.now();
+        last_response < now + self.plan.expected_time(now).mul_f64(SHUTDOWN_HEADROOM_FACTOR)
+    }
+
     fn send(&mut self, commands: impl IntoIterator<Item = SendCommand>) {
         for command in commands {
             self.request.host.count_attempt(command.cause.label());
--- a/crates/relay/src/request_flow/forward_flow.rs
+++ b/crates/relay/src/request_flow/forward_flow.rs
@@ -102,18 +102,24 @@
         };
         let left = self.times.deadline.saturating_sub(now);
         let forwarding = forward_request(host, &self.request.view, &self.route, message, now);
-        let (outcome, response) = match tokio::time::timeout(left, forwarding).await {
-            Ok(ForwardResult::Answered(response)) => ("forwarded", response),
-            Ok(ForwardResult::NotRun(retry_after)) => {
+        let limited = async {
+            tokio::select! {
+                result = tokio::time::timeout(left, forwarding) => result.ok(),
+                () = host.wait_for_last_response() => None,
+            }
+        };
+        let (outcome, response) = match limited.await {
+            Some(ForwardResult::Answered(response)) => ("forwarded", response),
+            Some(ForwardResult::NotRun(retry_after)) => {
                 count_refusal("cut_off");
                 let text = "no host reaches the targets\n";
                 ("cut_off", not_run_response(&wire, retry_after, text))
             }
-            Ok(ForwardResult::Lost(detail)) => {
+            Some(ForwardResult::Lost(detail)) => {
                 tracing::debug!(detail, "the reply to a forwarded request was lost");
                 ("forward_lost", local_response(StatusCode::BAD_GATEWAY, "no usable reply\n"))
             }
-            Err(_) => {
+            None => {
                 let text = "the time is over\n";
                 ("forward_deadline", local_response(StatusCode::GATEWAY_TIMEOUT, text))
             }
