Entry hosts follow a restored platform and write the confirmed configuration again

A watch from a revision that the platform does not have any more waits for it, and the revisions of the tables, counted up by the editing tool, are given out again after a restore: hosts ignored every edit until they had passed.

Change: replies name the era of the store, and a watch of an earlier one ends at once. A watcher that finds the store behind the configuration in force writes it again by compare-and-swap; if operators have edited the copy meanwhile, their table gets a revision above all that were given out. The stand-in of the platform can be restored from a copy.

Claims of idempotency keys that were written after the copy are lost with it; that is not mended.

--- a/crates/entry/src/peer_link.rs
+++ b/crates/entry/src/peer_link.rs
@@ -115,6 +115,11 @@
         self.update(host, |core, now| core.peer.on_store_config(table, now, &mut core.rng));
     }
 
+    /// Configuration in force.
+    pub fn config(&self) -> Option<Arc<ConfigTable>> {
+        lock(&self.state).peer.config().cloned()
+    }
+
     /// Passes the platform's host list to the peer state.
     pub fn take_host_list(&self, host: &Arc<EntryHost>, list: Vec<HostEntry>) {
         self.update(host, |core, now| core.peer.on_host_list(&list, now));
--- a/crates/entry/src/store_follower.rs
+++ b/crates/entry/src/store_follower.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use vanillapick_fleet::table_edit::republished_table;
 use vanillapick_model::table::CONFIG_KEY;
 use vanillapick_model::table::ConfigTable;
 use vanillapick_platform::client::StoredValue;
@@ -29,8 +30,8 @@
 /// Runs until the host stops: watches the configuration while this host is one of its domain's watchers or has no
 /// configuration yet.
 pub async fn follow_config(host: Arc<EntryHost>) {
-    // Revision of the value in the store. It grows with every write, unlike the revision of the table.
-    let mut seen_revision = 0;
+    // Revision of the value in the store and its era. It grows with every write, unlike the revision of the table.
+    let (mut seen_revision, mut seen_era) = (0, 0);
     loop {
         if host.lifecycle.is_configured() && !host.peers.is_watcher() {
             // A later watch starts with the value that is current then.
@@ -42,15 +43,19 @@
             tokio::time::sleep(RETRY_DELAY).await;
             continue;
         }
-        let watch = host.platform.watch(CONFIG_KEY, seen_revision, WATCH_TIMEOUT);
+        let watch = host.platform.watch(CONFIG_KEY, seen_era, seen_revision, WATCH_TIMEOUT);
         let event = tokio::select! {
             event = watch => event,
             () = host.rule.cut(host.platform.address()) => continue,
         };
         match event {
             Ok(WatchEvent::Changed(stored)) => {
-                seen_revision = stored.revision;
-                apply_stored_config(&host, &stored);
+                (seen_revision, seen_era) = (stored.revision, stored.era);
+                apply_stored_config(&host, &stored).await;
+            }
+            Ok(WatchEvent::Restored) => {
+                tracing::warn!(seen_revision, seen_era, "the store was restored from a copy");
+                seen_revision = 0;
             }
             Ok(WatchEvent::Unchanged) => {}
             Ok(WatchEvent::Absent) => tokio::time::sleep(RETRY_DELAY).await,
@@ -62,15 +67,40 @@
     }
 }
 
-fn apply_stored_config(host: &Arc<EntryHost>, stored: &StoredValue) {
+async fn apply_stored_config(host: &Arc<EntryHost>, stored: &StoredValue) {
     match serde_json::from_slice::<ConfigTable>(&stored.value) {
-        Ok(table) => host.peers.take_store_config(host, table),
+        Ok(table) => {
+            republish(host, stored, &table).await;
+            host.peers.take_store_config(host, table);
+        }
         Err(error) => {
             tracing::error!(%error, "cannot parse the configuration in the store; keeping the current one")
         }
     }
 }
 
+/// Writes the configuration again if the store is behind the one in force, as after a restore from a copy. Other watchers do
+/// the same, and the first succeeds.
+async fn republish(host: &Arc<EntryHost>, stored: &StoredValue, table: &ConfigTable) {
+    let Some(active) = host.peers.config() else { return };
+    let Some(republished) = republished_table(table, &active) else { return };
+    let (behind, revision) = (table.revision, republished.revision);
+    let value = match serde_json::to_vec(&republished) {
+        Ok(value) => value,
+        Err(error) => {
+            tracing::error!(%error, "encoding the configuration failed");
+            return;
+        }
+    };
+    // A conflict means that the value has changed; the next watch returns it.
+    match host.platform.put(CONFIG_KEY, value, stored.revision, None).await {
+        Ok(_) => {
+            tracing::warn!(behind, revision, "the store was behind; configuration written again")
+        }
+        Err(cause) => tracing::info!(%cause, "the configuration was not written again"),
+    }
+}
+
 /// Runs until the host stops: reads the host list periodically. The list lags behind the running hosts.
 pub async fn follow_host_list(host: Arc<EntryHost>) {
     let mut interval = INITIAL_HOST_LIST_INTERVAL;
--- a/crates/entry/tests/common/platform.rs
+++ b/crates/entry/tests/common/platform.rs
@@ -16,6 +16,7 @@
 
 #[derive(Default)]
 struct Store {
+    era: u64,
     values: BTreeMap<String, (u64, Bytes)>,
     is_down: bool,
 }
@@ -46,6 +47,20 @@
         self.changed.send_modify(|count| *count += 1);
     }
 
+    /// Restores the store from a copy that has this value of a key.
+    pub fn restore(&self, key: &str, revision: u64, value: Bytes) {
+        let mut store = lock(&self.store);
+        store.era += 1;
+        store.values.insert(key.to_owned(), (revision, value));
+        drop(store);
+        self.changed.send_modify(|count| *count += 1);
+    }
+
+    /// Value of a key with its revision.
+    pub fn read(&self, key: &str) -> Option<(u64, Bytes)> {
+        lock(&self.store).values.get(key).cloned()
+    }
+
     /// While down, every call is answered with 503.
     pub fn set_down(&self, is_down: bool) {
         lock(&self.store).is_down = is_down;
@@ -67,7 +82,10 @@
 
     fn read(&self, key: &str) -> Reply {
         match self.values.get(key) {
-            Some((revision, value)) => Reply::new(200, value.clone()).with("kv-revision", revision),
+            Some((revision, value)) => {
+                let reply = Reply::new(200, value.clone()).with("kv-revision", revision);
+                reply.with("kv-era", self.era)
+            }
             None => Reply::new(404, ""),
         }
     }
@@ -86,9 +104,14 @@
     if let Some(key) = path.strip_prefix("/watch/") {
         let after = number("after");
         let mut notes = changed.subscribe();
-        let newer = notes.wait_for(|_| after < lock(&store).revision(key));
+        let era = number("era");
+        let is_restored = || after > 0 && era != lock(&store).era;
+        let newer = notes.wait_for(|_| is_restored() || after < lock(&store).revision(key));
         let wait = Duration::from_millis(number("wait_ms"));
         let is_newer = tokio::time::timeout(wait, newer).await.is_ok();
+        if is_restored() {
+            return Reply::new(410, "");
+        }
         return if is_newer { lock(&store).read(key) } else { Reply::new(304, "") };
     }
     let mut store = lock(&store);
--- a/crates/entry/tests/common/session.rs
+++ b/crates/entry/tests/common/session.rs
@@ -158,6 +158,12 @@
         self.get(path).await.status
     }
 
+    /// Revision of the configuration in force.
+    pub async fn revision(&self) -> u64 {
+        let status: Value = serde_json::from_str(&self.get("/status").await.body).expect("JSON");
+        status["revision"].as_u64().expect("a number")
+    }
+
     pub fn bare(&self, path: &str) -> RequestBuilder {
         self.client.post(format!("http://{}{path}", self.address))
     }
--- a/crates/fleet/src/table_edit.rs
+++ b/crates/fleet/src/table_edit.rs
@@ -180,6 +180,22 @@
     Ok(EditStep::Write(build_next_revision(current, &merged, edit)))
 }
 
+/// The table to write if the store is behind the `active` one, because it was restored from a copy; `None` if it is not.
+///
+/// If all edits of the stored table are known, the active one is written again. Otherwise operators have edited the copy, at
+/// revisions that were given out before: their table is written with a revision above all of these, because they have seen
+/// what it contains.
+pub fn republished_table(stored: &ConfigTable, active: &ConfigTable) -> Option<ConfigTable> {
+    if stored == active || active.revision < stored.revision {
+        return None;
+    }
+    let mut edits = stored.edits.iter();
+    if edits.all(|edit| active.edits.contains(edit)) {
+        return Some(active.clone());
+    }
+    Some(ConfigTable { revision: active.revision + 1, ..stored.clone() })
+}
+
 /// Returns the table with the move `move_id` ended as `progress`; `None` if the move has already ended, so that a
 /// rollback or a finished move is recorded once even if several hosts try. A finished move can still be rolled back,
 /// because the new pool is monitored while the old one exists.
--- a/crates/lab/src/platform_stand_in.rs
+++ b/crates/lab/src/platform_stand_in.rs
@@ -48,6 +48,9 @@
 /// Response header with the current revision of the key.
 pub const REVISION_HEADER: &str = "kv-revision";
 
+/// Response header with the number of times that the store was restored.
+pub const ERA_HEADER: &str = "kv-era";
+
 /// Maximum length of a stored value.
 pub const MAX_VALUE_BYTES: usize = 1024 * 1024;
 
@@ -128,6 +131,17 @@
         result
     }
 
+    /// Copies the values and leases, for a later [`Self::restore`].
+    pub fn copy(&self) -> KeyValueStore {
+        lock(&self.state.store).clone()
+    }
+
+    /// Restores the values and leases from a copy: what was written since is lost, and watches from earlier revisions fail.
+    pub fn restore(&self, copy: KeyValueStore) {
+        lock(&self.state.store).restore(copy);
+        self.state.changed.notify_waiters();
+    }
+
     /// Closes the listener. Open connections close at their next call.
     pub fn stop(self) {
         self.set_faults(PlatformFaults { down: true, ..PlatformFaults::default() });
@@ -198,6 +212,9 @@
         "hosts" => list_hosts(&state),
         _ => reply(StatusCode::NOT_FOUND, ""),
     };
+    let mut response = response;
+    let era = lock(&state.store).era();
+    response.headers_mut().insert(ERA_HEADER, HeaderValue::from(era));
     let changes_state = matches!(kind, "put" | "delete" | "lease" | "renew");
     if changes_state && should_drop_reply(&state) {
         return Err(ConnectionClosed);
@@ -291,12 +308,16 @@
     host: &str,
 ) -> Result<StandInReply, ConnectionClosed> {
     let after = query_number(query, "after").unwrap_or_default();
+    let era = query_number(query, "era").filter(|_| after > 0);
     let wait = Duration::from_millis(query_number(query, "wait_ms").unwrap_or_default());
     let end = time::Instant::now() + wait.min(MAX_WATCH_WAIT);
     loop {
         let changed = state.changed.notified();
         tokio::pin!(changed);
         changed.as_mut().enable();
+        if era.is_some_and(|era| era != lock(&state.store).era()) {
+            return Ok(reply(StatusCode::GONE, ""));
+        }
         let stored = lock(&state.store).get(key).cloned();
         if let Some(stored) = stored.filter(|stored| after < stored.revision) {
             return Ok(value_reply(&stored));
--- a/crates/lab/src/platform_stand_in/key_value_store.rs
+++ b/crates/lab/src/platform_stand_in/key_value_store.rs
@@ -9,7 +9,7 @@
 /// Number of a lease, counted from 1.
 pub type LeaseId = u64;
 
-/// Revision of a value. It grows with every write to any key and is never reused.
+/// Revision of a value. It grows with every write to any key, and is reused only after a restore.
 pub type StoreRevision = u64;
 
 /// Value of a key with its revision and lease.
@@ -23,7 +23,7 @@
     pub lease: Option<LeaseId>,
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct KeyHistory {
     current: Option<StoredValue>,
     previous: Option<StoredValue>,
@@ -45,8 +45,10 @@
 }
 
 /// Values and leases. Callers pass the current time, so that tests can choose it.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct KeyValueStore {
+    /// Number of restores.
+    era: u64,
     keys: BTreeMap<String, KeyHistory>,
     leases: BTreeMap<LeaseId, LeaseState>,
     last_revision: StoreRevision,
@@ -54,6 +56,16 @@
 }
 
 impl KeyValueStore {
+    /// Number of times that the store was restored.
+    pub fn era(&self) -> u64 {
+        self.era
+    }
+
+    /// Replaces everything by an earlier copy, so that revisions and leases are given out again.
+    pub fn restore(&mut self, copy: Self) {
+        *self = Self { era: self.era + 1, ..copy };
+    }
+
     /// Returns the current value of `key`.
     pub fn get(&self, key: &str) -> Option<&StoredValue> {
         self.keys.get(key)?.current.as_ref()
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -15,14 +15,21 @@
 use crate::transport::StoreTransport;
 use crate::transport::percent_encode;
 
-/// Revision of one value in the store. It increases with every write; 0 means that the value does not exist.
+/// Revision of one value in the store. It increases with every write of an era; 0 means that the value does not exist.
 ///
-/// Idempotency claims depend on the platform never reusing a revision of a key after the value was removed.
+/// Idempotency claims depend on the platform never reusing a revision of a key after the value was removed. A store that is
+/// restored from a copy breaks this: claims that were written after the copy are lost.
 pub type StoreRevision = u64;
 
+/// Number of times that the store was restored from a copy; each time it gives out revisions again. 0 if it names none.
+pub type StoreEra = u64;
+
 /// Identifier of a lease, assigned by the platform.
 pub type LeaseId = String;
 
+/// Response header with the era of the store.
+const ERA_HEADER: &str = "kv-era";
+
 /// Response header with the revision of the value.
 const REVISION_HEADER: &str = "kv-revision";
 
@@ -31,6 +38,8 @@
 pub struct StoredValue {
     /// At least 1, because the value exists.
     pub revision: StoreRevision,
+    /// Era in which the revision is valid.
+    pub era: StoreEra,
     /// At most 1 MB, the limit of the platform.
     pub value: Bytes,
 }
@@ -44,6 +53,8 @@
     Unchanged,
     /// The value does not exist.
     Absent,
+    /// The store was restored from a copy since the requested era, so that the requested revision means nothing.
+    Restored,
 }
 
 /// Client of one platform address; clones share connections and the call counter.
@@ -107,20 +118,22 @@
         if reply.status.is_success() { Ok(()) } else { Err(reply.status_error()) }
     }
 
-    /// Waits up to `wait` for a revision greater than `after`.
+    /// Waits up to `wait` for a revision of this era greater than `after`; for any value if `after` is 0.
     pub async fn watch(
         &self,
         key: &str,
+        era: StoreEra,
         after: StoreRevision,
         wait: Duration,
     ) -> Result<WatchEvent, PlatformError> {
-        let path =
-            format!("/watch/{}?after={after}&wait_ms={}", percent_encode(key), wait.as_millis());
+        let (key, wait_ms) = (percent_encode(key), wait.as_millis());
+        let path = format!("/watch/{key}?after={after}&era={era}&wait_ms={wait_ms}");
         let reply = self.send(self.request(Method::GET, &path), wait + self.timeout).await?;
         match reply.status {
             StatusCode::OK => reply.into_stored_value().map(WatchEvent::Changed),
             StatusCode::NOT_MODIFIED => Ok(WatchEvent::Unchanged),
             StatusCode::NOT_FOUND => Ok(WatchEvent::Absent),
+            StatusCode::GONE => Ok(WatchEvent::Restored),
             _ => Err(reply.status_error()),
         }
     }
@@ -177,7 +190,9 @@
     }
 
     fn into_stored_value(self) -> Result<StoredValue, PlatformError> {
-        Ok(StoredValue { revision: self.revision()?, value: self.body })
+        let era = self.headers.get(ERA_HEADER).and_then(|value| value.to_str().ok());
+        let era = era.and_then(|text| text.parse().ok()).unwrap_or_default();
+        Ok(StoredValue { revision: self.revision()?, era, value: self.body })
     }
 
     /// Accepts the id as JSON (a string, a number or an object with the field `id`) or as plain text.
--- a/crates/platform/tests/client.rs
+++ b/crates/platform/tests/client.rs
@@ -29,8 +29,8 @@
         format!("{:?}", client.put(key, "one", 0, None).await),
         format!("{:?}", client.put(key, "two", 0, None).await),
         format!("{:?}", client.get(key).await),
-        format!("{:?}", client.watch(key, 0, TIMEOUT).await),
-        format!("{:?}", client.watch(key, 1, Duration::from_millis(1)).await),
+        format!("{:?}", client.watch(key, 0, 0, TIMEOUT).await),
+        format!("{:?}", client.watch(key, 0, 1, Duration::from_millis(1)).await),
         format!("{:?}", client.create_lease(Duration::from_secs(9)).await),
         format!("{:?}", client.put(key, "two", 1, Some("1")).await),
         format!("{:?}", client.renew_lease("1").await),
@@ -48,7 +48,7 @@
 async fn a_watch_ends_with_the_change() {
     let platform = StandIn::start().await;
     let client = PlatformClient::new(platform.address, TIMEOUT);
-    let watch = client.watch("key", 0, TIMEOUT);
+    let watch = client.watch("key", 0, 0, TIMEOUT);
     let change = async { platform.write("key", "new") };
     let (event, ()) = rocket::tokio::join!(watch, change);
     assert!(matches!(event, Ok(WatchEvent::Changed(stored)) if stored.value == "new"));
