A request is forwarded to another domain after hosts of a near one refuse

Cause: a request was offered to four hosts, the nearest first. All hosts of its own domain were cut off as well, and on hosts with a request a second their refusals were forgotten by the next one.

Change: each refusal by a host that is cut off makes the others of its domain a later choice for this request, and up to eight hosts are asked, because a refusal costs a round trip.

--- a/crates/dispatch/src/forward_pick.rs
+++ b/crates/dispatch/src/forward_pick.rs
@@ -9,6 +9,9 @@
 /// Requests in flight at a near host that make up for the distance to one of another domain or of another region.
 const DISTANCE_COST: [usize; 3] = [0, 4, 8];
 
+/// Requests in flight that make up for one refusal by a host of the same domain that is cut off. Often a whole domain is.
+const REFUSAL_COST: usize = 6;
+
 /// Time that a reply takes from the other host, by distance.
 const RETURN_TIME: [Duration; 3] =
     [Duration::from_millis(2), Duration::from_millis(4), Duration::from_millis(15)];
@@ -24,15 +27,20 @@
     pub is_in_backoff: bool,
     /// Requests and groups of this host that are in flight there.
     pub in_flight: usize,
+    /// Number of hosts of the same domain that have refused this request because they are cut off.
+    pub refusals: usize,
 }
 
 /// The candidate to ask; `None` if all failed or refused lately.
 ///
-/// A host takes more requests the nearer it is, but callers of one domain must not overload the few hosts that are left in it.
+/// A host takes more requests the nearer it is, but callers of one domain must not overload the few hosts that are left in it. If
+/// hosts of a domain are cut off, others of that domain are asked later.
 pub fn pick_forward_host(candidates: &[ForwardCandidate], rng: &mut impl Rng) -> Option<usize> {
     let usable = candidates.iter().enumerate().filter(|(_, candidate)| !candidate.is_in_backoff);
     let ranked = usable.map(|(index, candidate)| {
-        let cost = candidate.in_flight + DISTANCE_COST[candidate.distance as usize];
+        let cost = candidate.in_flight
+            + DISTANCE_COST[candidate.distance as usize]
+            + REFUSAL_COST * candidate.refusals;
         (cost, rng.random::<u32>(), index)
     });
     ranked.min().map(|(_, _, index)| index)
--- a/crates/relay/src/forward_client.rs
+++ b/crates/relay/src/forward_client.rs
@@ -1,5 +1,6 @@
 //! Has requests served by other hosts while this one is cut off from all targets.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,6 +12,7 @@
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::header::HOST;
+use vanillapick_dispatch::config_document::DomainId;
 use vanillapick_dispatch::config_document::RouteContract;
 use vanillapick_dispatch::forward_pick::ForwardCandidate;
 use vanillapick_dispatch::forward_pick::NO_HOST_RETRY_AFTER;
@@ -30,8 +32,8 @@
 use crate::relay_host::RelayHost;
 use crate::relay_host::RelayView;
 
-/// Number of hosts that are asked in turn if they refuse or cannot be reached.
-const MAX_HOSTS_ASKED: usize = 4;
+/// Number of hosts that are asked in turn if they refuse or cannot be reached. A refusal costs a round trip.
+const MAX_HOSTS_ASKED: usize = 8;
 
 /// Size limit of the fields of a reply other than the body.
 const EXTRA_REPLY_BYTES: usize = 256 << 10;
@@ -66,9 +68,13 @@
     arrived: Duration,
 ) -> ForwardResult {
     let waited = request.elapsed;
+    let mut refusals: BTreeMap<DomainId, usize> = BTreeMap::new();
     let mut retry_after = NO_HOST_RETRY_AFTER;
     for _ in 0..MAX_HOSTS_ASKED {
-        let Some((peer, distance)) = pick_peer(host, view, route) else { break };
+        let Some(PickedPeer { peer, domain, distance }) = pick_peer(host, view, route, &refusals)
+        else {
+            break;
+        };
         let now = host.now();
         let return_time = forward_return_time(distance);
         request.elapsed = waited + now.saturating_sub(arrived) + return_time;
@@ -82,7 +88,10 @@
             Err(ForwardFailure::Refused(refusal)) => {
                 count(refusal.label());
                 match refusal {
-                    ForwardRefusal::CutOff => peer.record_cut_off(host.now()),
+                    ForwardRefusal::CutOff => {
+                        peer.record_cut_off(host.now());
+                        *refusals.entry(domain).or_default() += 1;
+                    }
                     ForwardRefusal::Overloaded(time) => {
                         retry_after = retry_after.max(time);
                         peer.record_refusal(host.now());
@@ -106,12 +115,21 @@
     ForwardResult::NotRun(retry_after)
 }
 
+/// Host to ask, and where it is.
+struct PickedPeer {
+    peer: Arc<PartPeer>,
+    domain: DomainId,
+    distance: TargetDistance,
+}
+
 /// The nearest usable host in a region whose targets may serve the route, because only there the request may be sent.
+/// `refusals` has the number of hosts by domain that are cut off.
 fn pick_peer(
     host: &Arc<RelayHost>,
     view: &Arc<RelayView>,
     route: &RouteContract,
-) -> Option<(Arc<PartPeer>, TargetDistance)> {
+    refusals: &BTreeMap<DomainId, usize>,
+) -> Option<PickedPeer> {
     let location = &view.serving.location;
     let now = host.now();
     let mut peers = Vec::new();
@@ -121,15 +139,18 @@
             continue;
         }
         let distance = location.distance(domain);
+        let refusals = refusals.get(domain).copied().unwrap_or_default();
         for peer in hosts.keys().filter_map(|host| view.part_peers.get(host)) {
             let state = peer.state(now);
             let (is_in_backoff, in_flight) = (state.is_in_backoff, state.in_flight);
-            candidates.push(ForwardCandidate { distance, is_in_backoff, in_flight });
-            peers.push(peer);
+            candidates.push(ForwardCandidate { distance, is_in_backoff, in_flight, refusals });
+            peers.push((peer, domain));
         }
     }
     let index = pick_forward_host(&candidates, &mut host.rng())?;
-    Some((Arc::clone(peers[index]), candidates[index].distance))
+    let (peer, domain) = peers[index];
+    let distance = candidates[index].distance;
+    Some(PickedPeer { peer: Arc::clone(peer), domain: DomainId::clone(domain), distance })
 }
 
 async fn ask(
