--- a/crates/lab/src/capacity/exchange_cost.rs
+++ b/crates/lab/src/capacity/exchange_cost.rs
@@ -171,7 +171,7 @@
     let messages_before = fleet.delivered_messages;
     let nanos_before = thread_cpu_nanos();
     for _ in 0..MEASURED_SECONDS {
-        record_requests(fleet, moves);
+        record_target_notice(fleet, moves);
         fleet.run_for(Duration::from_secs(1));
     }
     let nanos = thread_cpu_nanos() - nanos_before;
@@ -193,7 +193,7 @@
 }
 
 /// Records 40 requests for each version of each move on every host.
-fn record_requests(fleet: &mut SimulatedFleet, moves: u32) {
+fn record_target_notice(fleet: &mut SimulatedFleet, moves: u32) {
     let now = fleet.now();
     let bucket = (WALL_START_MS + now.as_millis() as u64) / MEASUREMENT_BUCKET_MS;
     for host in fleet.hosts.values_mut() {
--- a/crates/relay/src/forward_wire.rs
+++ b/crates/relay/src/forward_wire.rs
@@ -91,7 +91,7 @@
     LINK_STATES.iter().find(|(known, _)| *known == state).map_or("unknown", |(_, name)| name)
 }
 
-/// Link state with this name on the wire.
+/// Decodes the answer of a host; `None` if it is of a later version of the program.
 pub(crate) fn decode_link_state(name: &[u8]) -> Option<LinkState> {
     let known = LINK_STATES.iter().find(|(_, known)| known.as_bytes() == name);
     known.map(|(state, _)| *state)
--- a/crates/relay/src/host_registration.rs
+++ b/crates/relay/src/host_registration.rs
@@ -29,7 +29,7 @@
 /// Maximum delay of the registration after a restore of the store, so that the hosts do not register all at once.
 const MAX_RESTORE_DELAY: Duration = Duration::from_millis(500);
 
-/// Lease of the registration.
+/// Lease that keeps this host registered, renewed until the store forgets it.
 #[derive(Clone, Copy)]
 struct RegistrationLease {
     id: LeaseId,
--- a/crates/relay/src/request_flow.rs
+++ b/crates/relay/src/request_flow.rs
@@ -364,9 +364,9 @@
                 Some(result) = self.attempts.next() => self.on_result(result),
                 Some((group, progress)) = self.gathering.next() => self.on_progress(group, progress),
                 () = &mut last_response => {
-                    if let Some(verdict) = self.plan.verdict(self.times.deadline) {
-                        break verdict;
-                    }
+                    // The verdict at the deadline is always final.
+                    let verdict = self.plan.verdict(self.times.deadline);
+                    break verdict.unwrap_or(PlanVerdict::Unknown(FailureCause::Deadline));
                 }
                 Ok(()) = cut_off.changed() => {
                     if let Some(verdict) = self.verdict_if_cut_off() {
--- a/crates/relay/src/request_limits.rs
+++ b/crates/relay/src/request_limits.rs
@@ -43,7 +43,7 @@
 }
 
 /// Records whether a reply of `target` says that it is leaving, or wants no requests for some time.
-pub(crate) fn record_requests(
+pub(crate) fn record_target_notice(
     host: &RelayHost,
     target: &TargetState,
     status: StatusCode,
--- a/crates/relay/src/target_attempt.rs
+++ b/crates/relay/src/target_attempt.rs
@@ -23,7 +23,7 @@
 use crate::relay_host::RelayHost;
 use crate::relay_host::RelayView;
 use crate::request_limits::record_limit;
-use crate::request_limits::record_requests;
+use crate::request_limits::record_target_notice;
 use crate::target_connections::CallError;
 use crate::wire::TargetCallHead;
 use crate::wire::TargetReplyKind;
@@ -118,7 +118,7 @@
         if let Ok(rate) = (host.wire.target.read_limit)(&parts.headers) {
             record_limit(host, &target, rate, started);
         }
-        record_requests(host, &target, parts.status, &parts.headers);
+        record_target_notice(host, &target, parts.status, &parts.headers);
     }
     let (outcome, stamp) = match reading {
         TargetReplyKind::Success(stamp) => (AttemptOutcome::Answered, Some(stamp)),
