Hosts that have shown that they reach targets are preferred for forwarded requests

Cause: nothing was kept of who had served a request, or had said that it reaches targets.

Change: such a host counts as reaching targets for five seconds. It goes before others of its distance, and before nearer ones after a refusal there.

--- a/crates/dispatch/src/forward_pick.rs
+++ b/crates/dispatch/src/forward_pick.rs
@@ -12,6 +12,10 @@
 /// Requests in flight that make up for one refusal by a host of the same domain that is cut off. Often a whole domain is.
 const REFUSAL_COST: usize = 6;
 
+/// Requests in flight that make up for not knowing whether a host reaches targets. It is less than a step of the distance, so
+/// that a near domain is tried before requests stay with a distant one, and a refusal there decides for the distant one.
+const UNPROVEN_COST: usize = 3;
+
 /// Time that a reply takes from the other host, by distance.
 const RETURN_TIME: [Duration; 3] =
     [Duration::from_millis(2), Duration::from_millis(4), Duration::from_millis(15)];
@@ -27,6 +31,8 @@
     pub is_in_backoff: bool,
     /// Requests and groups of this host that are in flight there.
     pub in_flight: usize,
+    /// Whether the host has lately served a request of this host, or said that it reaches targets.
+    pub is_proven: bool,
     /// Number of hosts of the same domain that have refused this request because they are cut off.
     pub refusals: usize,
 }
@@ -34,13 +40,17 @@
 /// The candidate to ask; `None` if all failed or refused lately.
 ///
 /// A host takes more requests the nearer it is, but callers of one domain must not overload the few hosts that are left in it. If
-/// hosts of a domain are cut off, others of that domain are asked later.
+/// hosts of a domain are cut off, others of that domain are asked later, unless they have shown that they reach targets.
 pub fn pick_forward_host(candidates: &[ForwardCandidate], rng: &mut impl Rng) -> Option<usize> {
     let usable = candidates.iter().enumerate().filter(|(_, candidate)| !candidate.is_in_backoff);
     let ranked = usable.map(|(index, candidate)| {
         let cost = candidate.in_flight
             + DISTANCE_COST[candidate.distance as usize]
-            + REFUSAL_COST * candidate.refusals;
+            + if candidate.is_proven {
+                0
+            } else {
+                UNPROVEN_COST + REFUSAL_COST * candidate.refusals
+            };
         (cost, rng.random::<u32>(), index)
     });
     ranked.min().map(|(_, _, index)| index)
--- a/crates/dispatch/tests/forward_pick.rs
+++ b/crates/dispatch/tests/forward_pick.rs
@@ -8,7 +8,8 @@
 use vanillapick_dispatch::target_state::TargetDistance;
 
 fn candidate(distance: TargetDistance) -> ForwardCandidate {
-    ForwardCandidate { distance, is_in_backoff: false, in_flight: 0, refusals: 0 }
+    let (is_in_backoff, is_proven) = (false, false);
+    ForwardCandidate { distance, is_in_backoff, in_flight: 0, is_proven, refusals: 0 }
 }
 
 /// Domains of hosts that refuse because they are cut off, in the order in which they are asked. The domain of the host has
@@ -50,6 +51,18 @@
     assert_eq!(counts, [16, 8]);
 }
 
+/// With most hosts cut off, the few that reach targets must be found again without asking the others first.
+#[test]
+fn a_host_that_reaches_targets_is_preferred() {
+    let mut candidates = vec![candidate(TargetDistance::Domain); 20];
+    candidates.push(ForwardCandidate { is_proven: true, ..candidate(TargetDistance::Domain) });
+    assert_eq!(pick_forward_host(&candidates, &mut rng()), Some(20), "of the same domain");
+    candidates[20].distance = TargetDistance::Remote;
+    assert!(pick_forward_host(&candidates, &mut rng()) < Some(20), "a near host is tried once");
+    candidates.iter_mut().for_each(|candidate| candidate.refusals = 1);
+    assert_eq!(pick_forward_host(&candidates, &mut rng()), Some(20), "after a refusal");
+}
+
 #[test]
 fn no_host_is_picked_while_all_are_in_backoff() {
     let mut candidates = [candidate(TargetDistance::Domain); 2];
--- a/crates/relay/src/forward_client.rs
+++ b/crates/relay/src/forward_client.rs
@@ -82,6 +82,7 @@
         match ask(host, &peer, route, &request).await {
             Ok(response) => {
                 peer.record_success();
+                peer.record_reaching(host.now());
                 count("answered");
                 return ForwardResult::Answered(response);
             }
@@ -143,7 +144,14 @@
         for peer in hosts.keys().filter_map(|host| view.part_peers.get(host)) {
             let state = peer.state(now);
             let (is_in_backoff, in_flight) = (state.is_in_backoff, state.in_flight);
-            candidates.push(ForwardCandidate { distance, is_in_backoff, in_flight, refusals });
+            let is_proven = peer.is_proven(now);
+            candidates.push(ForwardCandidate {
+                distance,
+                is_in_backoff,
+                in_flight,
+                is_proven,
+                refusals,
+            });
             peers.push((peer, domain));
         }
     }
--- a/crates/relay/src/part_peers.rs
+++ b/crates/relay/src/part_peers.rs
@@ -31,6 +31,9 @@
 /// Time for which an idle connection is kept, shorter than the receiver keeps it.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Time for which a host counts as reaching targets after it has shown that it does.
+const REACH_VALIDITY: Duration = Duration::from_secs(5);
+
 /// Number of idle connections kept to one host.
 const MAX_IDLE: usize = 4;
 
@@ -47,6 +50,8 @@
     address: SocketAddr,
     backoff_until_us: AtomicU64,
     failures: AtomicU32,
+    /// Time until which the host counts as reaching targets.
+    reaches_until_us: AtomicU64,
     in_flight: AtomicUsize,
     idle: Mutex<Vec<KeptConnection>>,
 }
@@ -97,6 +102,7 @@
             address,
             backoff_until_us: AtomicU64::new(0),
             failures: AtomicU32::new(0),
+            reaches_until_us: AtomicU64::new(0),
             in_flight: AtomicUsize::new(0),
             idle: Mutex::default(),
         }
@@ -130,8 +136,19 @@
         self.backoff_until_us.fetch_max(micros(now + REFUSAL_BACKOFF), Relaxed);
     }
 
+    /// Records that the host reaches targets.
+    pub(crate) fn record_reaching(&self, now: Duration) {
+        self.reaches_until_us.fetch_max(micros(now + REACH_VALIDITY), Relaxed);
+    }
+
+    /// Whether the host has lately shown that it reaches targets.
+    pub(crate) fn is_proven(&self, now: Duration) -> bool {
+        micros(now) < self.reaches_until_us.load(Relaxed)
+    }
+
     /// Excludes the host for longer than after a refusal, because it is cut off from all targets.
     pub(crate) fn record_cut_off(&self, now: Duration) {
+        self.reaches_until_us.store(0, Relaxed);
         self.backoff_until_us.fetch_max(micros(now + CUT_OFF_BACKOFF), Relaxed);
     }
 
--- a/crates/relay/src/reach_monitor.rs
+++ b/crates/relay/src/reach_monitor.rs
@@ -135,8 +135,10 @@
     }
     peer.put_idle(connection, host.now()).await;
     let state = decode_link_state(&answer)?;
-    if state == LinkState::CutOff {
-        peer.record_cut_off(host.now());
+    match state {
+        LinkState::CutOff => peer.record_cut_off(host.now()),
+        LinkState::Reaching => peer.record_reaching(host.now()),
+        LinkState::Unknown => {}
     }
     Some(state)
 }
