--- a/crates/dispatch/src/crash_guard.rs
+++ b/crates/dispatch/src/crash_guard.rs
@@ -66,6 +66,11 @@
         losses.count == CRASH_LOSS_LIMIT
     }
 
+    /// Number of losses that count for a fingerprint.
+    pub fn loss_count(&self, fingerprint: RequestFingerprint) -> u32 {
+        self.losses.get(&fingerprint).map_or(0, |losses| losses.count)
+    }
+
     /// Resets the losses of a fingerprint after an answer, which shows that they had another cause.
     pub fn record_answer(&mut self, fingerprint: RequestFingerprint) {
         self.losses.remove(&fingerprint);
--- a/crates/relay/src/request_flow.rs
+++ b/crates/relay/src/request_flow.rs
@@ -441,11 +441,25 @@
         if outcome == AttemptOutcome::Lost && !self.has_lost_target {
             self.has_lost_target = true;
             let fingerprint = fingerprint();
-            if host.crashes().record_loss(fingerprint, host.now()) {
+            let is_limit_reached = host.crashes().record_loss(fingerprint, host.now());
+            let losses = host.crashes().loss_count(fingerprint);
+            tracing::info!(
+                print = format!("{fingerprint:016x}"),
+                losses,
+                source = host.settings.host,
+                "target lost under a request"
+            );
+            if is_limit_reached {
                 host.publish_crash(fingerprint);
             }
         } else if outcome == AttemptOutcome::Answered && !host.crashes().is_empty() {
-            host.crashes().record_answer(fingerprint());
+            let fingerprint = fingerprint();
+            let losses = host.crashes().loss_count(fingerprint);
+            host.crashes().record_answer(fingerprint);
+            if losses > 0 {
+                let print = format!("{fingerprint:016x}");
+                tracing::info!(print, losses, "losses of a request forgotten after an answer");
+            }
         }
     }
 
