A mark stops second attempts, hedges and groups of requests that run already

The guard was asked once, when a request arrived.

The mark is asked again when a call is written, which all attempts pass: first ones, second ones, hedges, those of groups for other hosts and of requests that were handed over. A request that has lost three targets without any answer holds further second attempts until a shard answers; if none is left to answer, one of them is sent to tell an outage from a crash.

--- a/crates/relay/src/parts_server.rs
+++ b/crates/relay/src/parts_server.rs
@@ -330,6 +330,7 @@
     async fn on_result(&mut self, result: AttemptResult, messages: &mpsc::Sender<Bytes>) -> bool {
         let now = self.request.host.now();
         let AttemptResult { attempt, outcome, reply, .. } = result;
+        self.plan.set_repeats_held(self.request.is_suspect());
         if self.plan.is_pool_moving(attempt) {
             let target = self.plan.target(attempt);
             let latency = now.saturating_sub(self.plan.sent_at(attempt));
@@ -384,6 +385,7 @@
             return false;
         }
         if self.send_held(now) {
+            self.plan.set_repeats_held(self.request.is_suspect());
             let commands = self.plan.on_wake(now, &mut self.rng);
             self.send(commands);
         }
--- a/crates/relay/src/request_flow.rs
+++ b/crates/relay/src/request_flow.rs
@@ -396,6 +396,7 @@
                 }
                 () = tokio::time::sleep(wake.saturating_sub(now)) => {
                     host.record_wake_lateness(host.now().saturating_sub(wake));
+                    self.plan.set_repeats_held(self.request.is_suspect());
                     let commands = self.plan.on_wake(host.now(), &mut self.rng);
                     self.send(commands);
                 }
@@ -430,6 +431,7 @@
     fn on_result(&mut self, result: AttemptResult) {
         let now = self.request.host.now();
         let AttemptResult { attempt, outcome, reply, detail } = result;
+        self.plan.set_repeats_held(self.request.is_suspect());
         self.has_reached_target |= outcome != AttemptOutcome::NotRun(NotRunCause::Unreachable);
         if self.plan.is_pool_moving(attempt) {
             let target = self.plan.target(attempt);
@@ -474,6 +476,10 @@
                 let reply = self.take_reply(attempt).expect("a failed attempt has a reply");
                 forwarded_response(reply)
             }
+            PlanVerdict::NotRun(_) if self.request.is_marked() => {
+                count_refusal("crashing_request");
+                crashing_request_response(&self.request.host)
+            }
             PlanVerdict::NotRun(RefusalCause::NoTarget) => {
                 not_run_response(&wire, NO_TARGET_RETRY_AFTER, "no target is in service\n")
             }
--- a/crates/relay/src/target_attempt.rs
+++ b/crates/relay/src/target_attempt.rs
@@ -161,6 +161,16 @@
 }
 
 impl ForwardedRequest {
+    /// Whether second attempts must wait for an answer.
+    pub(crate) fn is_suspect(&self) -> bool {
+        self.host.crash_state.guard().is_suspect(self.fingerprint)
+    }
+
+    /// Whether no attempt is sent any more, because the request crashes targets.
+    pub(crate) fn is_marked(&self) -> bool {
+        self.host.crash_state.guard().is_marked(self.fingerprint)
+    }
+
     /// Records that the target has run the request and is alive.
     fn record_alive(&self, target: &TargetState) {
         let crash_state = &self.host.crash_state;
@@ -188,6 +198,12 @@
         if remaining.is_zero() || self.is_answered.load(Relaxed) {
             return None;
         }
+        // The mark may have come after the request was admitted, or after this attempt was planned.
+        if !self.is_trial.load(Relaxed) && self.is_marked() {
+            metrics::counter!("vanillapick_attempts_stopped_total", "reason" => "crashing_request")
+                .increment(1);
+            return None;
+        }
         let mut call = Request::new(Full::new(self.body.clone()));
         *call.method_mut() = self.method.clone();
         *call.uri_mut() = self.uri.clone();
