A target that starts again under a silent attempt counts as lost

Only resets counted.

If the registration of its target then comes back with another start, or lapses without saying that the target leaves, the attempt counts as a loss.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod route_table;
 pub mod serving_view;
 pub mod shard_groups;
+pub mod silent_attempts;
 pub mod target_pick;
 pub mod target_reach;
 pub mod target_record;
--- a/crates/dispatch/src/registry.rs
+++ b/crates/dispatch/src/registry.rs
@@ -25,6 +25,7 @@
 use crate::serving_view::ServingView;
 use crate::shard_groups::PartHosts;
 use crate::shard_groups::domain_owners;
+use crate::silent_attempts::InstanceState;
 use crate::target_record::TargetId;
 use crate::target_record::TargetRecord;
 use crate::target_state::TargetDistance;
@@ -385,6 +386,11 @@
         &self.hosts
     }
 
+    /// What the registration of a target says.
+    pub fn instance_state(&self, id: &TargetId) -> InstanceState {
+        InstanceState::of(self.records.get(id))
+    }
+
     /// Number of known targets, including those that get no requests.
     pub fn target_count(&self) -> usize {
         self.targets.len()
--- a/crates/relay/src/crash_state.rs
+++ b/crates/relay/src/crash_state.rs
@@ -19,6 +19,10 @@
 use vanillapick_dispatch::crash_guard::WallTime;
 use vanillapick_dispatch::registry::StoreChange;
 use vanillapick_dispatch::registry::StoredMark;
+use vanillapick_dispatch::silent_attempts::InstanceState;
+use vanillapick_dispatch::silent_attempts::SilentAttempt;
+use vanillapick_dispatch::silent_attempts::SilentAttempts;
+use vanillapick_dispatch::target_record::TargetId;
 
 use crate::crash_wire::decode_evidence;
 use crate::log_limiter::LogLimiter;
@@ -30,6 +34,7 @@
 pub(crate) struct CrashState {
     guard: Mutex<CrashGuard>,
     entries: Mutex<CrashEntries>,
+    silent: Mutex<SilentAttempts>,
     /// Client for claims of trials; set at the start.
     store: OnceLock<StoreClient>,
     /// Notified when the guard has something to do or to tell.
@@ -70,6 +75,35 @@
         self.store.get()
     }
 
+    /// Records that an attempt was sent and ended without a reply. `state` is what the registration of its target says now.
+    pub(crate) fn record_silence(&self, attempt: SilentAttempt, state: InstanceState, own: &str) {
+        let is_restarted =
+            matches!(state, InstanceState::Registered(started) if started != attempt.started_ms);
+        if is_restarted {
+            self.record_loss(attempt.fingerprint, attempt.loss, own);
+        } else {
+            self.silent().add(attempt, wall_now());
+        }
+    }
+
+    /// Records the losses of attempts whose targets have crashed since, by what `state` says of the registrations.
+    pub(crate) fn check_silent(&self, state: impl Fn(&TargetId) -> InstanceState, own: &str) {
+        let crashed = {
+            let mut silent = self.silent();
+            if silent.is_empty() {
+                return;
+            }
+            silent.take_crashed(state, wall_now())
+        };
+        for attempt in crashed {
+            self.record_loss(attempt.fingerprint, attempt.loss, own);
+        }
+    }
+
+    fn silent(&self) -> MutexGuard<'_, SilentAttempts> {
+        self.silent.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Records that a target was lost under a request.
     pub(crate) fn record_loss(&self, fingerprint: RequestFingerprint, loss: TargetLoss, own: &str) {
         let crashes = self.guard().record_loss(fingerprint, loss.clone(), wall_now());
--- a/crates/relay/src/relay_host.rs
+++ b/crates/relay/src/relay_host.rs
@@ -15,7 +15,9 @@
 use tokio::sync::watch;
 use vanillapick_dispatch::config_document::ConfigVersion;
 use vanillapick_dispatch::serving_view::ServingView;
+use vanillapick_dispatch::silent_attempts::InstanceState;
 use vanillapick_dispatch::target_reach::TargetReach;
+use vanillapick_dispatch::target_record::TargetRecord;
 use vanillapick_policy::micros::micros;
 use vanillapick_settings::RelaySettings;
 
@@ -93,6 +95,16 @@
     pub(crate) part_peers: PartPeerTable,
 }
 
+impl RelayView {
+    /// What the registration of a target says now, as far as its pool shows.
+    pub(crate) fn instance_state(&self, record: &TargetRecord) -> InstanceState {
+        let pool = self.serving.pools.get(&record.pool);
+        let mut targets = pool.iter().flat_map(|pool| &pool.targets);
+        let registered = targets.find(|target| target.record.id == record.id);
+        InstanceState::of(registered.map(|target| &target.record))
+    }
+}
+
 /// Lifecycle phase of the process.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum HostPhase {
--- a/crates/relay/src/store_follower.rs
+++ b/crates/relay/src/store_follower.rs
@@ -14,6 +14,7 @@
 use vanillapick_dispatch::host_record::HostId;
 use vanillapick_dispatch::registry::StoreChange;
 use vanillapick_dispatch::registry::StoreRegistry;
+use vanillapick_dispatch::target_record::TargetId;
 
 use crate::change_log::PeerChanges;
 use crate::peer_changes::PEER_TIMEOUT;
@@ -183,6 +184,7 @@
         });
         self.position = Some(position);
         self.install();
+        self.check_silent_attempts();
         self.record_registration();
         self.host.changes.apply_list(items, position);
         self.host.set_store_era(position.era);
@@ -249,7 +251,10 @@
                             tracing::info!(revision, era, current, is_suspect, "watch is silent; restarting it");
                             return Ok(WATCH_NOW);
                         }
-                        Ok(_) => self.confirm_store(),
+                        Ok(_) => {
+                            self.confirm_store();
+                            self.check_silent_attempts();
+                        }
                         Err(error) => {
                             tracing::debug!(fault = %error, "store revision check failed");
                             self.host.changes.mark_store_lost();
@@ -418,9 +423,16 @@
         if is_changed {
             self.install();
         }
+        self.check_silent_attempts();
         self.record_registration();
     }
 
+    /// Looks for targets that have crashed under attempts without a reply.
+    fn check_silent_attempts(&self) {
+        let state = |target: &TargetId| self.registry.instance_state(target);
+        self.host.crash_state.check_silent(state, &self.host.settings.host);
+    }
+
     fn record_registration(&self) {
         let is_registered = self.registry.hosts().contains_key(&*self.host.settings.host);
         self.host.set_unregistered(!is_registered);
@@ -526,6 +538,7 @@
         if self.registry.expire(self.busy_since) {
             self.set_moves();
             self.install();
+            self.check_silent_attempts();
         }
     }
 }
--- a/crates/relay/src/target_attempt.rs
+++ b/crates/relay/src/target_attempt.rs
@@ -22,6 +22,9 @@
 use vanillapick_dispatch::crash_guard::RequestAnswer;
 use vanillapick_dispatch::crash_guard::RequestFingerprint;
 use vanillapick_dispatch::crash_guard::TargetLoss;
+use vanillapick_dispatch::crash_guard::WallTime;
+use vanillapick_dispatch::silent_attempts::InstanceState;
+use vanillapick_dispatch::silent_attempts::SilentAttempt;
 use vanillapick_dispatch::target_state::TargetState;
 
 use crate::crash_state::wall_now;
@@ -75,12 +78,29 @@
     pub(crate) detail: Option<String>,
 }
 
-/// Guard that counts an attempt in flight at its target until it is dropped.
-struct AttemptInFlight(Arc<TargetState>);
+/// Guard that counts an attempt in flight at its target until it is dropped. An attempt that was sent and is dropped without a
+/// reply is remembered, in case that its target has crashed.
+struct AttemptInFlight {
+    request: Arc<ForwardedRequest>,
+    target: Arc<TargetState>,
+    /// When the call was written; `None` before.
+    sent: OnceLock<WallTime>,
+    is_over: bool,
+}
 
 impl Drop for AttemptInFlight {
     fn drop(&mut self) {
-        self.0.record_finished();
+        self.target.record_finished();
+        let Some(sent) = self.sent.get().filter(|_| !self.is_over) else { return };
+        let host = &self.request.host;
+        let record = &self.target.record;
+        let attempt = SilentAttempt {
+            fingerprint: self.request.fingerprint,
+            started_ms: record.started_ms,
+            loss: TargetLoss::new(record, *sent, wall_now()),
+        };
+        let state = host.view().map_or(InstanceState::Gone, |view| view.instance_state(record));
+        host.crash_state.record_silence(attempt, state, &host.settings.host);
     }
 }
 
@@ -96,9 +116,12 @@
     let started = host.now();
     target.record_sent(started);
     host.reach.record_sent(&target.record);
-    let _in_flight = AttemptInFlight(Arc::clone(&target));
-    // When the call was written.
-    let sent = OnceLock::new();
+    let mut in_flight = AttemptInFlight {
+        request: Arc::clone(&request),
+        target: Arc::clone(&target),
+        sent: OnceLock::new(),
+        is_over: false,
+    };
     let Some(connections) = request.view.connections.get(&target) else {
         let detail = Some("the target is not in the connection table".to_owned());
         return ended(AttemptOutcome::NotRun(NotRunCause::Unreachable), None, detail);
@@ -107,11 +130,12 @@
         ReplyLimits { max_bytes: request.max_reply_bytes, memory: Arc::clone(&host.reply_memory) };
     let write = || {
         let call = request.call(&target)?;
-        sent.get_or_init(wall_now);
+        in_flight.sent.get_or_init(wall_now);
         Some(call)
     };
     let reply = connections.call(write, &limits, || host.now()).await;
-    let sent = sent.get().copied();
+    in_flight.is_over = true;
+    let sent = in_flight.sent.get().copied();
     let (parts, body) = match reply {
         Ok(reply) => {
             host.reach.record_reply(host.now());
