--- a/crates/dispatch/src/target_state.rs
+++ b/crates/dispatch/src/target_state.rs
@@ -106,7 +106,7 @@
         region: Option<RegionId>,
         now: Duration,
     ) -> Self {
-        let cold_until = micros(now + record.cold_remaining);
+        let cold_until = micros(now.saturating_add(record.cold_remaining));
         Self {
             record,
             distance,
@@ -267,7 +267,7 @@
 
     /// Updates the remaining cold time from a newer record, read at `now`.
     pub fn set_cold(&self, cold_remaining: Duration, now: Duration) {
-        self.cold_until_us.store(micros(now + cold_remaining), Relaxed);
+        self.cold_until_us.store(micros(now.saturating_add(cold_remaining)), Relaxed);
     }
 
     /// Whether this host may send another request in the current second, at `allowed` requests per second to a cold
--- a/crates/dispatch/tests/registry.rs
+++ b/crates/dispatch/tests/registry.rs
@@ -137,3 +137,21 @@
     .map(|location| location.accepts_remote_callers());
     assert_eq!(seen, [false, false, true, false]);
 }
+
+/// Guards against an entry with a time that overflows once it is added to the age of the process, and ends the task that reads
+/// the store.
+#[test]
+fn a_target_that_stays_cold_nearly_for_ever_is_applied_at_any_time() {
+    let route = route("page", RoutePools::Single("p".into()), RepeatRule::Idempotent);
+    let mut registry = registry(config(1, vec![route], &["p"]), &[record("t1", "p", "a")]);
+    let mut odd = record("t2", "p", "a");
+    odd.cold_remaining = Duration::MAX - Duration::from_secs(1);
+    for started_ms in [1000, 1001] {
+        odd.started_ms = started_ms;
+        for sequence in [2, 3] {
+            odd.sequence = sequence;
+            registry.apply(StoreChange::Target(odd.clone()), Duration::from_secs(2000));
+        }
+    }
+    assert_eq!(registry.target_count(), 2);
+}
--- a/crates/relay/src/request_flow.rs
+++ b/crates/relay/src/request_flow.rs
@@ -208,7 +208,7 @@
                 .saturating_sub(LATENCY_OBJECTIVE_MARGIN + host.wake_lateness()),
         deadline: arrived + timeout.min(route.timeout).saturating_sub(TIMEOUT_MARGIN + lag),
     };
-    if (arrived + timeout).saturating_sub(host.now()) < MIN_TIMEOUT + lag {
+    if arrived.saturating_add(timeout).saturating_sub(host.now()) < MIN_TIMEOUT + lag {
         count_refusal("no_time");
         return not_run_response(&wire, Duration::ZERO, "no time is left\n");
     }
