Messages of hosts are decoded to a bounded depth

rmp-serde recurses for each level, up to 1,024 by default, also in fields that it passes over. In a thread with 2 MiB of stack a debug build overflowed it (deep_nesting_is_an_error of crash_wire.rs ended the test process). A relay process with the default limit passed odd_entries.rs, as its main thread has more stack; no process was seen to end.

--- a/crates/fleet/src/exchange.rs
+++ b/crates/fleet/src/exchange.rs
@@ -8,6 +8,7 @@
 use serde::Serializer;
 use serde::de::Visitor;
 use vanillapick_model::host::HostEntry;
+use vanillapick_model::peer_message;
 use vanillapick_model::table::ConfigRevision;
 
 use crate::origin_row::EvidenceNames;
@@ -187,6 +188,6 @@
 
 /// Decodes a body into its sender and message.
 pub fn decode(bytes: &[u8]) -> Result<(HostEntry, PeerMessage), DecodeError> {
-    rmp_serde::from_slice(bytes)
+    peer_message::decode(bytes)
         .map_err(|error| DecodeError { length: bytes.len(), cause: error.to_string() })
 }
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -17,4 +17,5 @@
 pub mod crash_mark;
 pub mod hash;
 pub mod millis;
+pub mod peer_message;
 pub mod wall_clock;
--- a/crates/relay/src/crash_wire.rs
+++ b/crates/relay/src/crash_wire.rs
@@ -16,6 +16,7 @@
 use vanillapick_dispatch::crash_guard::RequestFingerprint;
 use vanillapick_dispatch::crash_guard::TargetLoss;
 use vanillapick_dispatch::crash_guard::WallTime;
+use vanillapick_model::peer_message;
 use vanillapick_policy::micros::micros;
 
 /// Path of the endpoint.
@@ -87,7 +88,7 @@
 ///
 /// Returns a description of the first byte that is no evidence.
 pub fn decode_evidence(encoded: &[u8]) -> Result<CrashNews, String> {
-    let wire: WireEvidence = rmp_serde::from_slice(encoded).map_err(|error| error.to_string())?;
+    let wire: WireEvidence = peer_message::decode(encoded).map_err(|error| error.to_string())?;
     let losses = wire.losses.into_iter().map(|loss| {
         let kind = ReplicaKind { pool: loss.pool, version: loss.version };
         let (sent, lost) = (wall_time(loss.sent), wall_time(loss.lost));
--- a/crates/relay/src/forward_client.rs
+++ b/crates/relay/src/forward_client.rs
@@ -19,6 +19,7 @@
 use vanillapick_dispatch::forward_pick::forward_return_time;
 use vanillapick_dispatch::forward_pick::pick_forward_host;
 use vanillapick_dispatch::target_state::TargetDistance;
+use vanillapick_model::peer_message;
 
 use crate::caller_response::ResponseBody;
 use crate::forward_wire::FORWARD_PATH;
@@ -209,7 +210,7 @@
 ) -> Result<Response<ResponseBody>, ForwardFailure> {
     let lost = |detail: &str| ForwardFailure::Lost(detail.to_owned());
     let reply: ForwardReply =
-        rmp_serde::from_slice(encoded).map_err(|error| ForwardFailure::Lost(error.to_string()))?;
+        peer_message::decode(encoded).map_err(|error| ForwardFailure::Lost(error.to_string()))?;
     let (request_id, status, headers, body) = match reply {
         ForwardReply::Response { request_id, status, headers, body } => {
             (request_id, status, headers, body)
--- a/crates/relay/src/forward_server.rs
+++ b/crates/relay/src/forward_server.rs
@@ -25,6 +25,7 @@
 use crate::relay_host::RelayHost;
 use crate::request_flow::ForwardedCall;
 use crate::request_flow::serve_forwarded;
+use vanillapick_model::peer_message;
 
 /// Answers with the state of this host's links to targets.
 pub(crate) async fn answer_reach(host: &Arc<RelayHost>) -> Bytes {
@@ -68,11 +69,11 @@
     let lag = host.read_lag();
     let arrived = host.now();
     let view = host.view().ok_or(ForwardRefusal::Configuration)?;
-    let limit = view.serving.limits.max_body_bytes + EXTRA_REQUEST_BYTES;
+    let limit = view.serving.limits.max_body_bytes.saturating_add(EXTRA_REQUEST_BYTES);
     let body = Limited::new(request.into_body(), limit).collect().await;
     let body = body.map_err(|_| ForwardRefusal::Malformed)?.to_bytes();
     let message: ForwardRequest =
-        rmp_serde::from_slice(&body).map_err(|_| ForwardRefusal::Malformed)?;
+        peer_message::decode(&body).map_err(|_| ForwardRefusal::Malformed)?;
     if view.serving.version < message.version {
         return Err(ForwardRefusal::Configuration);
     }
--- a/crates/relay/src/move_tracker.rs
+++ b/crates/relay/src/move_tracker.rs
@@ -22,6 +22,7 @@
 use vanillapick_dispatch::version_split::MoveRecordState;
 use vanillapick_dispatch::version_split::PoolMove;
 use vanillapick_dispatch::version_split::PoolMoves;
+use vanillapick_model::peer_message;
 use vanillapick_model::route::MoveRow;
 use vanillapick_model::route::MoveState;
 use vanillapick_model::wall_clock::unix_ms;
@@ -131,7 +132,7 @@
 
     /// Merges the evidence of another host into a tracked move.
     pub(crate) fn merge_evidence(&self, pool: &PoolId, encoded: &[u8]) {
-        let stored: StoredEvidence = match rmp_serde::from_slice(encoded) {
+        let stored: StoredEvidence = match peer_message::decode(encoded) {
             Ok(stored) => stored,
             Err(error) => {
                 tracing::warn!(pool = &**pool, %error, "evidence about a move cannot be decoded");
--- a/crates/relay/src/parts_server.rs
+++ b/crates/relay/src/parts_server.rs
@@ -38,6 +38,7 @@
 use vanillapick_dispatch::dispatch_plan::DispatchPlan;
 use vanillapick_dispatch::dispatch_plan::RequestTimes;
 use vanillapick_dispatch::gather::greatest_records;
+use vanillapick_model::peer_message;
 
 use crate::crash_wire::EVIDENCE_PATH;
 use crate::crash_wire::MAX_EVIDENCE_BYTES;
@@ -195,11 +196,11 @@
         return Err((StatusCode::SERVICE_UNAVAILABLE, "no_config"));
     };
     let lag = host.read_lag();
-    let limit = view.serving.limits.max_body_bytes + EXTRA_REQUEST_BYTES;
+    let limit = view.serving.limits.max_body_bytes.saturating_add(EXTRA_REQUEST_BYTES);
     let body = Limited::new(request.into_body(), limit).collect().await;
     let body = body.map_err(|_| (StatusCode::BAD_REQUEST, "body_cut"))?.to_bytes();
     let request: PartsRequest =
-        rmp_serde::from_slice(&body).map_err(|_| (StatusCode::BAD_REQUEST, "malformed"))?;
+        peer_message::decode(&body).map_err(|_| (StatusCode::BAD_REQUEST, "malformed"))?;
     if request.version != view.serving.version {
         return Err((StatusCode::CONFLICT, "other_version"));
     }
@@ -241,8 +242,8 @@
         let now = host.now();
         let times = RequestTimes {
             arrived: now,
-            soft_deadline: now + asked.soft_left.saturating_sub(SOFT_DEADLINE_MARGIN),
-            deadline: now + asked.left.saturating_sub(lag),
+            soft_deadline: now.saturating_add(asked.soft_left.saturating_sub(SOFT_DEADLINE_MARGIN)),
+            deadline: now.saturating_add(asked.left.saturating_sub(lag)),
         };
         let mut rng = host.rng();
         let (shards, prior) = (&asked.shards, asked.prior_attempts);
@@ -259,7 +260,7 @@
             headers,
             body: asked.body,
             request_id: HeaderValue::from_maybe_shared(asked.request_id).ok()?,
-            deadline: now + asked.caller_left.saturating_sub(lag),
+            deadline: now.saturating_add(asked.caller_left.saturating_sub(lag)),
             max_reply_bytes: route.max_reply_bytes(),
             fingerprint,
             is_trial: AtomicBool::new(false),
@@ -270,7 +271,7 @@
             route,
             plan,
             times,
-            first_message: now + asked.first_message,
+            first_message: now.saturating_add(asked.first_message),
             reported_failed: vec![false; asked.shards.len()],
             shards: asked.shards,
             rng,
@@ -372,7 +373,7 @@
 
     /// Time from which second attempts may be sent; `None` before the first message.
     fn confirmed_at(&self) -> Option<Duration> {
-        self.first_sent.map(|sent| sent + self.confirm_after)
+        self.first_sent.map(|sent| sent.saturating_add(self.confirm_after))
     }
 
     /// Sends the message and the hedges that are due; returns whether the sender of the request still listens.
--- a/crates/relay/src/parts_wire.rs
+++ b/crates/relay/src/parts_wire.rs
@@ -15,6 +15,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 use vanillapick_dispatch::config_document::ConfigVersion;
+use vanillapick_model::peer_message;
 
 /// Path of the endpoint.
 pub(crate) const PARTS_PATH: &str = "/parts";
@@ -110,7 +111,7 @@
         }
         self.buffer.advance(LENGTH_BYTES);
         let message = self.buffer.split_to(length);
-        rmp_serde::from_slice(&message).map(Some).map_err(|error| error.to_string())
+        peer_message::decode(&message).map(Some).map_err(|error| error.to_string())
     }
 }
 
--- a/crates/relay/src/peer_changes.rs
+++ b/crates/relay/src/peer_changes.rs
@@ -23,6 +23,7 @@
 use crate::wire::StoreEra;
 use crate::wire::StorePosition;
 use crate::wire::StoreRevision;
+use vanillapick_model::peer_message;
 
 /// Maximum delay of a reply. A reply without changes still shows that the host is alive and whether it can reach the store.
 pub(crate) const PEER_WAIT: Duration = Duration::from_secs(1);
@@ -42,7 +43,7 @@
 
 /// Decodes the reply of a peer.
 pub(crate) fn read_changes(body: &[u8]) -> Result<PeerChanges, String> {
-    rmp_serde::from_slice(body).map_err(|error| error.to_string())
+    peer_message::decode(body).map_err(|error| error.to_string())
 }
 
 /// Endpoint that serves the change log to peers.
--- a/crates/relay/src/store_follower.rs
+++ b/crates/relay/src/store_follower.rs
@@ -368,7 +368,7 @@
                 self.requires_store = true;
             }
             Ok(changes) => {
-                let expiry_grace_until = now + changes.expiry_grace_left;
+                let expiry_grace_until = now.saturating_add(changes.expiry_grace_left);
                 self.registry.extend_expiry_grace(expiry_grace_until);
                 self.host.changes.set_expiry_grace_until(expiry_grace_until);
                 if changes.is_complete {
