--- a/crates/dispatch/src/crash_evidence.rs
+++ b/crates/dispatch/src/crash_evidence.rs
@@ -35,11 +35,15 @@
 /// Number of targets that other requests have lost from which an outage explains a loss.
 const MIN_OUTAGE_TARGETS: usize = 4;
 
-/// Maximum number of requests with losses; the one with the least recent loss is evicted first.
-const MAX_REQUESTS: usize = 512;
+/// Maximum number of losses; those of the request with the least recent one are evicted first.
+const MAX_LOSSES: usize = 4096;
 
-/// Maximum number of losses kept for one request; the least recent is evicted first.
-const MAX_LOSSES_PER_REQUEST: usize = 16;
+/// Maximum number of losses kept for one request, enough for a search over hundreds of shards; the least recent is evicted
+/// first.
+const MAX_LOSSES_PER_REQUEST: usize = 256;
+
+/// Interval between removals of losses that no longer count.
+const CLEANUP_PERIOD: Duration = Duration::from_secs(1);
 
 /// Maximum number of answers that are remembered; the first one is evicted first.
 const MAX_ANSWERS: usize = 8192;
@@ -112,6 +116,9 @@
 pub struct CrashEvidence {
     /// Losses by request, in order of time; at most [`MAX_LOSSES_PER_REQUEST`] of each.
     losses: BTreeMap<RequestFingerprint, BTreeSet<TargetLoss>>,
+    /// Number of all losses; at most [`MAX_LOSSES`].
+    loss_count: usize,
+    next_cleanup: WallTime,
     /// Latest answer by request and kind of replica.
     answers: HashMap<(RequestFingerprint, ReplicaKind), WallTime>,
     /// Keys of `answers` in the order in which they were first recorded.
@@ -131,17 +138,18 @@
             return false;
         }
         let losses = self.losses.entry(fingerprint).or_default();
-        let is_new = losses.insert(loss);
+        if !losses.insert(loss) {
+            return false;
+        }
         if losses.len() > MAX_LOSSES_PER_REQUEST {
             losses.pop_first();
+        } else {
+            self.loss_count += 1;
         }
-        if self.losses.len() > MAX_REQUESTS {
-            let latest = |losses: &BTreeSet<TargetLoss>| losses.last().map(|loss| loss.lost);
-            let oldest = self.losses.iter().min_by_key(|(_, losses)| latest(losses));
-            let oldest = oldest.map(|(fingerprint, _)| *fingerprint);
-            oldest.map(|oldest| self.losses.remove(&oldest));
+        if self.loss_count > MAX_LOSSES {
+            self.evict_request();
         }
-        is_new
+        true
     }
 
     /// Adds an answer; returns whether it explains losses that were unexplained before.
@@ -196,14 +204,18 @@
 
     /// Whether other requests have lost other targets at about the same time. A request that crashes its targets takes others
     /// with it only at the same ones.
-    fn is_in_outage(&self, fingerprint: RequestFingerprint, loss: &TargetLoss) -> bool {
+    pub fn is_in_outage(&self, fingerprint: RequestFingerprint, loss: &TargetLoss) -> bool {
         let own: BTreeSet<&TargetId> = self.losses(fingerprint).map(|own| &own.target).collect();
         let others = self.losses.iter().filter(|(other, _)| **other != fingerprint);
-        let near = others.flat_map(|(_, losses)| losses).filter(|other| {
-            other.lost.abs_diff(loss.lost) <= OUTAGE_WINDOW && !own.contains(&other.target)
-        });
-        let targets: BTreeSet<&TargetId> = near.map(|other| &other.target).collect();
-        MIN_OUTAGE_TARGETS <= targets.len()
+        let mut targets: BTreeSet<&TargetId> = BTreeSet::new();
+        // Few losses are enough in an outage, which has many.
+        others.flat_map(|(_, losses)| losses).any(|other| {
+            let is_near = other.lost.abs_diff(loss.lost) <= OUTAGE_WINDOW;
+            is_near && !own.contains(&other.target) && {
+                targets.insert(&other.target);
+                MIN_OUTAGE_TARGETS <= targets.len()
+            }
+        })
     }
 
     /// Requests with losses.
@@ -211,7 +223,19 @@
         self.losses.keys().copied()
     }
 
+    fn evict_request(&mut self) {
+        let latest = |losses: &BTreeSet<TargetLoss>| losses.last().map(|loss| loss.lost);
+        let oldest = self.losses.iter().min_by_key(|(_, losses)| latest(losses));
+        let oldest = oldest.map(|(fingerprint, _)| *fingerprint);
+        let evicted = oldest.and_then(|oldest| self.losses.remove(&oldest));
+        self.loss_count -= evicted.map_or(0, |losses| losses.len());
+    }
+
     fn forget_old_losses(&mut self, now: WallTime) {
+        if now < self.next_cleanup {
+            return;
+        }
+        self.next_cleanup = now + CLEANUP_PERIOD;
         let since = now.saturating_sub(LOSS_RETENTION);
         self.losses.retain(|_, losses| {
             while losses.first().is_some_and(|loss| loss.lost <= since) {
@@ -219,6 +243,7 @@
             }
             !losses.is_empty()
         });
+        self.loss_count = self.losses.values().map(BTreeSet::len).sum();
     }
 }
 
--- a/crates/dispatch/src/crash_guard.rs
+++ b/crates/dispatch/src/crash_guard.rs
@@ -213,7 +213,11 @@
         }
         for (fingerprint, loss) in told.losses {
             if self.evidence.add_loss(fingerprint, loss.clone(), now) {
-                self.news.losses.push((fingerprint, loss.clone()));
+                // In an outage each host tells its own losses to some others, which is enough for all to notice it. Passing them on
+                // would flood the hosts.
+                if !self.evidence.is_in_outage(fingerprint, &loss) {
+                    self.news.losses.push((fingerprint, loss.clone()));
+                }
                 self.suspect(fingerprint, now);
                 unknown.push((fingerprint, loss));
             }
@@ -307,10 +311,13 @@
 
     /// What this host has seen itself and tells others.
     ///
-    /// Losses that were explained since stay in what was written before, which does no harm.
+    /// Losses that were explained since stay in what was written before, which does no harm. Those in an outage are left out,
+    /// because hundreds of hosts would write them at once.
     pub fn own_evidence(&self) -> CrashNews {
+        let losses = self.own_losses.iter();
+        let losses = losses.filter(|(print, loss)| !self.evidence.is_in_outage(*print, loss));
         CrashNews {
-            losses: self.own_losses.iter().cloned().collect(),
+            losses: losses.cloned().collect(),
             answers: self.own_answers.iter().copied().collect(),
             marks: Vec::new(),
         }
--- a/crates/dispatch/tests/crash_guard.rs
+++ b/crates/dispatch/tests/crash_guard.rs
@@ -2,9 +2,14 @@
 
 use std::time::Duration;
 
-use proptest::prelude::*;
+use proptest::prelude::Strategy;
+use proptest::prelude::any;
+use proptest::prelude::prop;
+use proptest::prop_assert_eq;
+use proptest::proptest;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use rand::seq::SliceRandom;
 use vanillapick_dispatch::crash_guard::CrashDecision;
 use vanillapick_dispatch::crash_guard::CrashGuard;
 use vanillapick_dispatch::crash_guard::CrashMark;
@@ -233,7 +238,6 @@
         told in prop::collection::vec(news(), 1..6),
         seed in any::<u64>(),
     ) {
-        use rand::seq::SliceRandom;
         let mut other = [told.clone(), told.clone()].concat();
         other.shuffle(&mut SmallRng::seed_from_u64(seed));
         let mut guards: [CrashGuard; 2] = Default::default();
--- a/crates/policy/tests/crash.rs
+++ b/crates/policy/tests/crash.rs
@@ -304,3 +304,21 @@
         assert_eq!(forward.export(), backward.export());
     }
 }
+
+/// Guards against losses that count only at the host which saw them.
+#[test]
+fn losses_at_three_hosts_mark_the_request_at_all() {
+    let mut hosts = vec![CrashTable::new(UNIX_EPOCH); 6];
+    for (number, host) in hosts.iter_mut().take(3).enumerate() {
+        let at = Duration::from_secs(1) + 300 * MS * number as u32;
+        host.record_loss(CRASHING_REQUEST, &format!("t{number}"), at);
+    }
+    let now = Duration::from_secs(6);
+    let updates: Vec<_> = hosts.iter_mut().flat_map(|host| host.take_updates(now)).collect();
+    for host in &mut hosts {
+        updates.iter().for_each(|mark| _ = host.import(*mark, now));
+    }
+    let refused = hosts.iter_mut().map(|host| host.admit(CRASHING_REQUEST, now));
+    let refused = refused.filter(|decision| matches!(decision, CrashDecision::Refuse { .. }));
+    assert_eq!(refused.count(), 6);
+}
--- a/crates/relay/src/crash_exchange.rs
+++ b/crates/relay/src/crash_exchange.rs
@@ -45,6 +45,9 @@
 /// Time for which a written entry is not missed, because a change that this host has made reaches it with a delay.
 const READ_BACK_TIME: Duration = Duration::from_secs(2);
 
+/// Time in which hosts that reach each other notice an outage, whose losses are not written.
+const OUTAGE_NOTICE_TIME: Duration = Duration::from_millis(300);
+
 /// Delay of writes that any host can make, for each host, so that one or few of them do.
 const SHARED_WRITE_DELAY: Duration = Duration::from_millis(20);
 
@@ -138,6 +141,7 @@
         written: CrashNews::default(),
         missed_at: Duration::ZERO,
         next_write: Duration::ZERO,
+        unwritten_since: None,
     };
     loop {
         let wait = publisher.next_wait();
@@ -173,6 +177,8 @@
     missed_at: Duration,
     /// When evidence may be written next, so that losses in quick succession share a write.
     next_write: Duration,
+    /// Since when there is evidence that was not written.
+    unwritten_since: Option<Duration>,
 }
 
 /// Lease of entries, used for several of them.
@@ -197,7 +203,13 @@
 
     /// When to write evidence that the store lacks.
     fn evidence_due(&self, is_changed: bool) -> Duration {
-        if is_changed { self.next_write } else { self.next_write.max(self.missed_at) }
+        if !is_changed {
+            return self.next_write.max(self.missed_at);
+        }
+        let has_peers = 0 < self.host.part_host_count();
+        let delay = if has_peers { OUTAGE_NOTICE_TIME } else { Duration::ZERO };
+        let since = self.unwritten_since.unwrap_or_else(|| self.host.now());
+        self.next_write.max(since + delay)
     }
 
     /// Evidence of this host, if the store lacks it.
@@ -218,12 +230,14 @@
         let now = self.host.now();
         let evidence = self.missing_evidence();
         let is_changed = self.is_unwritten(&evidence);
+        self.unwritten_since = self.unwritten_since.or(Some(now)).filter(|_| is_changed);
         let is_due = self.evidence_due(is_changed) <= now;
         if !evidence.is_empty() && is_due {
             match self.write_evidence(&evidence).await {
                 Ok(()) => {
                     self.missed_at = self.host.now() + READ_BACK_TIME;
                     self.written = evidence;
+                    self.unwritten_since = None;
                 }
                 Err(error) => self.on_error(&error),
             }
--- a/crates/relay/src/forward_server.rs
+++ b/crates/relay/src/forward_server.rs
@@ -11,6 +11,7 @@
 use hyper::Uri;
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
+use vanillapick_model::peer_message;
 
 use crate::caller_response::ResponseBody;
 use crate::forward_wire::ForwardRefusal;
@@ -25,7 +26,6 @@
 use crate::relay_host::RelayHost;
 use crate::request_flow::ForwardedCall;
 use crate::request_flow::serve_forwarded;
-use vanillapick_model::peer_message;
 
 /// Answers with the state of this host's links to targets.
 pub(crate) async fn answer_reach(host: &Arc<RelayHost>) -> Bytes {
--- a/crates/relay/src/forward_wire.rs
+++ b/crates/relay/src/forward_wire.rs
@@ -26,26 +26,26 @@
 
 /// A caller's request that the receiver serves in place of the sender.
 #[derive(Clone, Debug, Deserialize, Serialize)]
-pub(crate) struct ForwardRequest {
+pub struct ForwardRequest {
     /// Configuration in force at the sender; a receiver with an earlier one refuses.
-    pub(crate) version: ConfigVersion,
+    pub version: ConfigVersion,
     /// Time since the request arrived at the sender, including the time that the reply will take back to it.
-    pub(crate) elapsed: Duration,
+    pub elapsed: Duration,
     /// Timeout of the caller, from the arrival at the sender.
-    pub(crate) timeout: Duration,
+    pub timeout: Duration,
     /// Whether the sender has counted the request for the retry budgets of its pools.
-    pub(crate) is_counted: bool,
-    pub(crate) method: String,
-    pub(crate) uri: String,
-    pub(crate) request_id: Bytes,
+    pub is_counted: bool,
+    pub method: String,
+    pub uri: String,
+    pub request_id: Bytes,
     /// Headers of the caller without hop-by-hop headers.
-    pub(crate) headers: Vec<(String, Bytes)>,
-    pub(crate) body: Bytes,
+    pub headers: Vec<(String, Bytes)>,
+    pub body: Bytes,
 }
 
 /// Answer to a [`ForwardRequest`].
 #[derive(Debug, Deserialize, Serialize)]
-pub(crate) enum ForwardReply {
+pub enum ForwardReply {
     /// The response to the caller.
     Response {
         /// Id of the request, as a check that the response belongs to it.
@@ -60,7 +60,7 @@
 
 /// Why a host does not serve a forwarded request.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub(crate) enum ForwardRefusal {
+pub enum ForwardRefusal {
     /// The host is cut off from all targets itself.
     CutOff,
     /// The host shuts down.
@@ -75,7 +75,7 @@
 
 impl ForwardRefusal {
     /// Label of metrics and log lines.
-    pub(crate) fn label(self) -> &'static str {
+    pub fn label(self) -> &'static str {
         match self {
             Self::CutOff => "cut_off",
             Self::Leaving => "leaving",
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -28,7 +28,7 @@
 mod connection_table;
 mod forward_client;
 mod forward_server;
-mod forward_wire;
+pub mod forward_wire;
 mod loop_delay;
 mod metered_stream;
 mod part_peers;
--- a/crates/relay/src/parts_wire.rs
+++ b/crates/relay/src/parts_wire.rs
@@ -31,31 +31,31 @@
 
 /// Asks a host to gather the parts of some shards of a search.
 #[derive(Debug, Deserialize, Serialize)]
-pub(crate) struct PartsRequest {
+pub struct PartsRequest {
     /// Configuration in force at the sender; the receiver refuses if its own is another.
-    pub(crate) version: ConfigVersion,
-    pub(crate) route: String,
+    pub version: ConfigVersion,
+    pub route: String,
     /// Increasing positions in the shard list of the route.
-    pub(crate) shards: Vec<usize>,
+    pub shards: Vec<usize>,
     /// Attempts that an earlier owner may have made for each shard.
-    pub(crate) prior_attempts: u32,
+    pub prior_attempts: u32,
     /// Time from the first message until second attempts may be sent. If the sender has given the receiver up meanwhile, its
     /// close of the connection has arrived by then.
-    pub(crate) confirm_after: Duration,
+    pub confirm_after: Duration,
     /// Time until the first message is due.
-    pub(crate) first_message: Duration,
+    pub first_message: Duration,
     /// Time until the soft deadline of the search.
-    pub(crate) soft_left: Duration,
+    pub soft_left: Duration,
     /// Time until the search fails without a response.
-    pub(crate) left: Duration,
+    pub left: Duration,
     /// Time until the caller gives up; targets are told what is left of it.
-    pub(crate) caller_left: Duration,
-    pub(crate) method: String,
-    pub(crate) uri: String,
-    pub(crate) request_id: Bytes,
+    pub caller_left: Duration,
+    pub method: String,
+    pub uri: String,
+    pub request_id: Bytes,
     /// Headers of the caller without hop-by-hop headers.
-    pub(crate) headers: Vec<(String, Bytes)>,
-    pub(crate) body: Bytes,
+    pub headers: Vec<(String, Bytes)>,
+    pub body: Bytes,
 }
 
 impl PartsRequest {
--- a/crates/relay/src/peer_changes.rs
+++ b/crates/relay/src/peer_changes.rs
@@ -15,6 +15,7 @@
 use rocket::http::Status;
 use rocket::route::Handler;
 use rocket::route::Outcome;
+use vanillapick_model::peer_message;
 
 use crate::admin_endpoints::serve;
 use crate::change_log::PeerChanges;
@@ -23,7 +24,6 @@
 use crate::wire::StoreEra;
 use crate::wire::StorePosition;
 use crate::wire::StoreRevision;
-use vanillapick_model::peer_message;
 
 /// Maximum delay of a reply. A reply without changes still shows that the host is alive and whether it can reach the store.
 pub(crate) const PEER_WAIT: Duration = Duration::from_secs(1);
