A target that ends under several silent requests counts as lost by none of them

Silence is weaker evidence than a reset, so it counts only where one request alone was silent at the target.

--- a/crates/dispatch/src/silent_attempts.rs
+++ b/crates/dispatch/src/silent_attempts.rs
@@ -21,6 +21,13 @@
 /// Maximum number of attempts for one target; further ones are not remembered.
 const MAX_ATTEMPTS: usize = 4;
 
+/// The attempts, if they are of one request.
+fn of_one_request(attempts: Vec<SilentAttempt>) -> Vec<SilentAttempt> {
+    let first = attempts.first().map(|attempt| attempt.fingerprint);
+    let is_one = attempts.iter().all(|attempt| Some(attempt.fingerprint) == first);
+    if is_one { attempts } else { Vec::new() }
+}
+
 /// Attempts by target.
 #[derive(Debug, Default)]
 pub struct SilentAttempts {
@@ -81,7 +88,8 @@
         self.by_target.is_empty()
     }
 
-    /// Takes the attempts whose targets have crashed since, by what `state` says of the registrations.
+    /// Takes the attempts whose targets have crashed since, by what `state` says of the registrations. Attempts of several requests
+    /// at one target are dropped: the target has ended under all of them.
     pub fn take_crashed(
         &mut self,
         state: impl Fn(&TargetId) -> InstanceState,
@@ -92,11 +100,13 @@
             attempts.retain(|attempt| now < attempt.loss.lost + RETENTION);
             match state(target) {
                 InstanceState::Leaving => attempts.clear(),
-                InstanceState::Gone => crashed.append(attempts),
+                InstanceState::Gone => crashed.extend(of_one_request(std::mem::take(attempts))),
                 InstanceState::Registered(started_ms) => {
-                    let is_other = |attempt: &SilentAttempt| attempt.started_ms != started_ms;
-                    crashed.extend(attempts.iter().filter(|attempt| is_other(attempt)).cloned());
-                    attempts.retain(|attempt| !is_other(attempt));
+                    let (ended, running): (Vec<_>, Vec<_>) = std::mem::take(attempts)
+                        .into_iter()
+                        .partition(|attempt| attempt.started_ms != started_ms);
+                    *attempts = running;
+                    crashed.extend(of_one_request(ended));
                 }
             }
             !attempts.is_empty()
--- a/crates/relay/src/crash_state.rs
+++ b/crates/relay/src/crash_state.rs
@@ -119,7 +119,10 @@
         let unknown = self.guard().merge(told, wall_now());
         for (fingerprint, loss) in unknown {
             let crashes = self.guard().crash_count(fingerprint);
-            self.log_loss(fingerprint, &loss, crashes, source);
+            // Single losses stand in the log of their host.
+            if 1 < crashes {
+                self.log_loss(fingerprint, &loss, crashes, source);
+            }
         }
         self.guard_changed.notify_one();
         self.entries_changed.notify_one();
