--- a/crates/dispatch/src/dispatch_plan.rs
+++ b/crates/dispatch/src/dispatch_plan.rs
@@ -283,7 +283,9 @@
         for shard in repeated {
             commands.extend(self.retry(shard, SendCause::Failure, now, rng));
         }
-        self.drop_held_unless(!commands.is_empty());
+        if commands.is_empty() {
+            self.drop_held();
+        }
         commands
     }
 
--- a/crates/dispatch/src/dispatch_plan/crash_plan.rs
+++ b/crates/dispatch/src/dispatch_plan/crash_plan.rs
@@ -80,11 +80,9 @@
         }
     }
 
-    /// Gives up held attempts if the trial that they wait for was not sent.
-    pub(super) fn drop_held_unless(&mut self, is_sent: bool) {
-        if !is_sent {
-            self.shards.iter_mut().for_each(|shard| shard.held = None);
-        }
+    /// Gives up held attempts, because no answer is to be expected.
+    pub(super) fn drop_held(&mut self) {
+        self.shards.iter_mut().for_each(|shard| shard.held = None);
     }
 
     /// Decides about held attempts once no attempt is in flight and none was answered: one of them is sent to tell an outage
@@ -105,7 +103,7 @@
                 return command;
             }
         }
-        self.shards.iter_mut().for_each(|shard| shard.held = None);
+        self.drop_held();
         None
     }
 }
--- a/crates/relay/src/crash_exchange.rs
+++ b/crates/relay/src/crash_exchange.rs
@@ -55,6 +55,9 @@
 const SHARED_WRITE_BOUNDS: (Duration, Duration) =
     (Duration::from_millis(200), Duration::from_secs(6));
 
+/// Time in which the store confirms the claim of a trial, for which a caller waits.
+const CLAIM_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Time between messages to other hosts while there are news.
 const GOSSIP_PERIOD: Duration = Duration::from_millis(100);
 
@@ -78,10 +81,10 @@
 ) {
     loop {
         let due = host.crash_state.guard().next_due();
-        let wait = due.map_or(REPAIR_PERIOD, |due| due.saturating_sub(wall_now()));
+        let wait = due.map(|due| due.saturating_sub(wall_now()));
         tokio::select! {
             () = host.crash_state.guard_changed.notified() => {}
-            () = tokio::time::sleep(wait), if due.is_some() => {}
+            () = sleep_if(wait) => {}
         }
         let (changes, news) = {
             let mut guard = host.crash_state.guard();
@@ -333,10 +336,19 @@
     }
 }
 
-/// Keeps other hosts from a trial of a marked request; returns whether this host may run it. Without the store no host may.
+/// Keeps other hosts from a trial of a marked request; returns whether this host may run it. Without the store no host may, and
+/// the caller is told so at once.
 pub(crate) async fn claim_trial(host: &RelayHost, store: &StoreClient, mark: CrashMark) -> bool {
+    if !host.changes.has_store(host.now()) {
+        return false;
+    }
     let trial = CrashGuard::trial_mark(mark, wall_now());
-    match write_trial(host, store, &trial).await {
+    let writing = tokio::time::timeout(CLAIM_TIMEOUT, write_trial(host, store, &trial));
+    let written = writing.await.unwrap_or_else(|_| {
+        // The claim may have arrived. Then the next trial is due later than it could be.
+        Err(StoreError::Malformed { detail: "no reply in time".to_owned() })
+    });
+    match written {
         Ok(()) => {
             host.crash_state.guard().start_trial(trial);
             host.crash_state.guard_changed.notify_one();
--- a/crates/relay/src/store_follower.rs
+++ b/crates/relay/src/store_follower.rs
@@ -478,6 +478,7 @@
                 self.host.moves.merge_evidence(&pool, &encoded);
                 false
             }
+            // Marks and evidence of crashing requests are no part of the registry.
             change if self.host.crash_state.apply(&change, &self.host.settings.host) => false,
             change @ (StoreChange::MoveOrder(..) | StoreChange::MoveRecord(..)) => {
                 let is_changed = self.registry.apply(change, now);
