--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -2,6 +2,7 @@
 
 use std::path::Path;
 
+mod cold_window;
 mod early_version;
 mod failed_503;
 mod late_refusal;
@@ -22,6 +23,7 @@
         "failed_503" => failed_503::run(&record),
         "early_version" => early_version::run(&record),
         "switching_reply" => switching_reply::run(&record),
+        "cold_window" => cold_window::run(&record),
         _ => support::NOT_RUN,
     };
     record.finish(status);
