--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -4,4 +4,10 @@
 for program in target/review/standin target/release/vanillapick-relay; do
   [ -x "$program" ] || { echo "$program is not built"; exit 2; }
 done
-exec target/review/standin stale_evidence review/2
+# The stand-in and the processes that it starts are a group of their own, which ends with this script.
+set -m
+target/review/standin stale_evidence review/2 &
+group=$!
+trap 'kill -KILL -- "-$group" 2>/dev/null' EXIT
+trap 'exit 2' INT TERM
+wait "$group"
