A connection carries a request at most once; a reply is classified before its connection is returned

Cause: a reply names its request, not the send. A request that its targets had shed was sent again 20 ms later on the connection of the first send, where a late copy of the first refusal counted as the reply to the second. Beside it: a connection with a reply to another request went back to the idle ones before they were all closed, so that another thread could take it. Ruled out: an id that is not compared; a reply with another id is noticed in any reply (a_second_reply_to_an_earlier_request...). Change: a connection remembers what was sent on it until 2 s after its deadline; if no other one is idle, a new connection takes its place (vanillapick_connections_replaced_total), so a host never holds more than before. A foreign reply closes its own connection alone.

--- a/crates/relay/src/kept_connection.rs
+++ b/crates/relay/src/kept_connection.rs
@@ -64,6 +64,14 @@
     pub(crate) idle_timeout: Option<Duration>,
 }
 
+impl std::fmt::Debug for KeptConnection {
+    fn fmt(&self, out: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        out.debug_struct("KeptConnection")
+            .field("idle_since", &self.idle_since)
+            .finish_non_exhaustive()
+    }
+}
+
 /// Reason why an exchange has no reply.
 #[derive(Debug)]
 pub(crate) enum ExchangeError {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -40,4 +40,5 @@
 mod request_fingerprint;
 mod request_limits;
 mod request_log;
+mod sent_requests;
 mod target_attempt;
--- a/crates/relay/src/target_attempt.rs
+++ b/crates/relay/src/target_attempt.rs
@@ -14,6 +14,7 @@
 use hyper::StatusCode;
 use hyper::Uri;
 use hyper::header::HeaderValue;
+use hyper::http::response::Parts;
 use vanillapick_dispatch::attempt::AttemptNumber;
 use vanillapick_dispatch::attempt::AttemptOutcome;
 use vanillapick_dispatch::attempt::NotRunCause;
@@ -33,7 +34,9 @@
 use crate::relay_host::RelayView;
 use crate::request_limits::record_limit;
 use crate::request_limits::record_target_notice;
+use crate::sent_requests::RequestIdentity;
 use crate::target_connections::CallError;
+use crate::target_connections::ReadReply;
 use crate::wire::TargetCallHead;
 use crate::wire::TargetReplyKind;
 
@@ -133,10 +136,14 @@
         in_flight.sent.get_or_init(wall_now);
         Some(call)
     };
-    let reply = connections.call(write, &limits, || host.now()).await;
+    let identity = RequestIdentity { id: &request.request_id, deadline: request.deadline };
+    let classify = |parts: &Parts| {
+        (host.wire.target.read_head)(parts.status, &parts.headers, &request.request_id)
+    };
+    let reply = connections.call(identity, write, classify, &limits, || host.now()).await;
     in_flight.is_over = true;
     let sent = in_flight.sent.get().copied();
-    let (parts, body) = match reply {
+    let ReadReply { kind, parts, body } = match reply {
         Ok(reply) => {
             host.reach.record_reply(host.now());
             reply
@@ -155,10 +162,9 @@
             return ended(outcome, None, Some(error.to_string()));
         }
     };
-    let reading = (host.wire.target.read_head)(parts.status, &parts.headers, &request.request_id);
     // A reply of another target, or to another request, says nothing about this target.
     let is_own = !matches!(
-        reading,
+        kind,
         TargetReplyKind::Invalid(_) | TargetReplyKind::NotRun(NotRunCause::Misdirected)
     );
     if is_own {
@@ -167,16 +173,14 @@
         }
         record_target_notice(host, &target, parts.status, &parts.headers);
     }
-    if is_own && !matches!(reading, TargetReplyKind::NotRun(_)) {
+    if is_own && !matches!(kind, TargetReplyKind::NotRun(_)) {
         request.record_alive(&target);
     }
-    let (outcome, stamp) = match reading {
+    let (outcome, stamp) = match kind {
         TargetReplyKind::Success(stamp) => (AttemptOutcome::Answered, Some(stamp)),
         TargetReplyKind::Failure(stamp) => (AttemptOutcome::Failed, stamp),
         TargetReplyKind::NotRun(cause) => return ended(AttemptOutcome::NotRun(cause), None, None),
         TargetReplyKind::Invalid(detail) => {
-            // The actual reply to this request may still arrive on the connection that was just returned to the idle ones.
-            connections.close_idle();
             return ended(AttemptOutcome::Lost, None, Some(detail.to_owned()));
         }
     };
--- a/crates/relay/src/target_connections.rs
+++ b/crates/relay/src/target_connections.rs
@@ -22,6 +22,9 @@
 use crate::kept_connection::ExchangeError;
 use crate::kept_connection::KeptConnection;
 use crate::kept_connection::ReplyLimits;
+use crate::sent_requests::RequestIdentity;
+use crate::sent_requests::SentRequests;
+use crate::wire::TargetReplyKind;
 
 /// Connect timeout: several round trips between regions. A machine that is down never replies.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -41,10 +44,25 @@
     target: Arc<TargetState>,
     permits: Semaphore,
     share: AtomicUsize,
-    idle: Mutex<Vec<KeptConnection>>,
+    idle: Mutex<Vec<TargetConnection>>,
     opened: AtomicUsize,
 }
 
+/// Connection to a target, with the requests that were sent on it.
+#[derive(Debug)]
+struct TargetConnection {
+    kept: KeptConnection,
+    sent: SentRequests,
+}
+
+/// Complete reply of a target.
+#[derive(Debug)]
+pub struct ReadReply {
+    pub kind: TargetReplyKind,
+    pub parts: Parts,
+    pub body: Bytes,
+}
+
 /// Reason why a call has no reply.
 #[derive(Debug, Display, Error)]
 pub enum CallError {
@@ -65,14 +83,6 @@
     Withdrawn,
 }
 
-impl std::fmt::Debug for KeptConnection {
-    fn fmt(&self, out: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        out.debug_struct("KeptConnection")
-            .field("idle_since", &self.idle_since)
-            .finish_non_exhaustive()
-    }
-}
-
 impl TargetConnections {
     /// Creates a pool without open connections.
     pub fn new(target: Arc<TargetState>, share: usize) -> Self {
@@ -103,43 +113,44 @@
         self.opened.load(Relaxed)
     }
 
-    /// Closes all idle connections; those in use are not affected.
-    pub fn close_idle(&self) {
-        self.idle().clear();
-        self.target.set_idle_connections(0);
-    }
-
-    /// Sends a request and reads the complete reply. Dropping the future closes the connection, which cancels the request
-    /// at the target.
+    /// Sends a request, on a connection that has not carried it before, and reads the complete reply. Dropping the future closes
+    /// the connection, which cancels the request at the target.
     ///
     /// `write` builds the request once a connection is open, because waiting for one takes part of the time that the target
-    /// is told; it returns `None` if the request is no longer wanted.
+    /// is told; it returns `None` if the request is no longer wanted. `classify` reads the head of the reply; the connection
+    /// is closed if the reply is not the one to this request, which may still arrive on it.
     pub async fn call(
         &self,
+        request: RequestIdentity<'_>,
         write: impl Fn() -> Option<Request<CallBody>>,
+        classify: impl Fn(&Parts) -> TargetReplyKind,
         limits: &ReplyLimits,
         now: impl Fn() -> Duration,
-    ) -> Result<(Parts, Bytes), CallError> {
+    ) -> Result<ReadReply, CallError> {
         let Ok(_permit) = self.permits.acquire().await else {
             return Err(CallError::Unreachable {
                 detail: "the connection pool is closed".to_owned(),
             });
         };
         loop {
-            let idle = self.take_idle(now()).await;
+            let idle = self.take_idle(request, now()).await;
             let is_new = idle.is_none();
             let mut connection = match idle {
                 Some(connection) => connection,
                 None => self.open(now()).await?,
             };
-            let Some(request) = write() else {
+            let Some(call) = write() else {
                 self.put_idle(connection, &HeaderMap::new(), now()).await;
                 return Err(CallError::Withdrawn);
             };
-            match connection.exchange(request, limits).await {
+            connection.sent.record(request, now());
+            match connection.kept.exchange(call, limits).await {
                 Ok((parts, body)) => {
-                    self.put_idle(connection, &parts.headers, now()).await;
-                    return Ok((parts, body));
+                    let kind = classify(&parts);
+                    if !matches!(kind, TargetReplyKind::Invalid(_)) {
+                        self.put_idle(connection, &parts.headers, now()).await;
+                    }
+                    return Ok(ReadReply { kind, parts, body });
                 }
                 Err(ExchangeError::Unsent) if !is_new => {}
                 Err(ExchangeError::Unsent) => {
@@ -161,7 +172,7 @@
         now: impl Fn() -> Duration,
     ) -> Option<bool> {
         let _permit = self.permits.try_acquire().ok()?;
-        drop(self.pop_idle());
+        drop(self.pop_idle(|_| true));
         match tokio::time::timeout(timeout, self.open(now())).await {
             Ok(Ok(connection)) => {
                 self.put_idle(connection, &HeaderMap::new(), now()).await;
@@ -171,25 +182,36 @@
         }
     }
 
-    async fn take_idle(&self, now: Duration) -> Option<KeptConnection> {
-        loop {
-            let mut connection = self.pop_idle()?;
-            let idle_timeout = connection.idle_timeout.unwrap_or(DEFAULT_IDLE_TIMEOUT);
-            let is_fresh = now.saturating_sub(connection.idle_since) < idle_timeout;
-            if is_fresh && connection.is_usable().await {
+    /// Takes an idle connection that has not carried the request. If all have, one of them is closed, so that a new connection
+    /// takes its place.
+    async fn take_idle(
+        &self,
+        request: RequestIdentity<'_>,
+        now: Duration,
+    ) -> Option<TargetConnection> {
+        while let Some(mut connection) = self.pop_idle(|idle| !idle.sent.contains(request.id)) {
+            let idle_timeout = connection.kept.idle_timeout.unwrap_or(DEFAULT_IDLE_TIMEOUT);
+            let is_fresh = now.saturating_sub(connection.kept.idle_since) < idle_timeout;
+            if is_fresh && connection.kept.is_usable().await {
                 return Some(connection);
             }
         }
+        if self.pop_idle(|_| true).is_some() {
+            metrics::counter!("vanillapick_connections_replaced_total", "reason" => "same_request")
+                .increment(1);
+        }
+        None
     }
 
-    fn pop_idle(&self) -> Option<KeptConnection> {
+    /// Takes the idle connection that was used last, of those that `is_wanted` accepts.
+    fn pop_idle(&self, is_wanted: impl Fn(&TargetConnection) -> bool) -> Option<TargetConnection> {
         let mut idle = self.idle();
-        let connection = idle.pop();
+        let connection = idle.iter().rposition(is_wanted).map(|index| idle.remove(index));
         self.target.set_idle_connections(idle.len());
         connection
     }
 
-    async fn open(&self, now: Duration) -> Result<KeptConnection, CallError> {
+    async fn open(&self, now: Duration) -> Result<TargetConnection, CallError> {
         self.opened.fetch_add(1, Relaxed);
         let unreachable = |detail: String| CallError::Unreachable { detail };
         let stream =
@@ -201,21 +223,24 @@
             Err(_) => return Err(unreachable("connect timed out".to_owned())),
         };
         stream.set_nodelay(true).map_err(|error| unreachable(error.to_string()))?;
-        KeptConnection::new(stream, now).await.map_err(|error| unreachable(error.to_string()))
+        let kept = KeptConnection::new(stream, now);
+        let kept = kept.await.map_err(|error| unreachable(error.to_string()))?;
+        Ok(TargetConnection { kept, sent: SentRequests::default() })
     }
 
-    async fn put_idle(&self, mut connection: KeptConnection, headers: &HeaderMap, now: Duration) {
-        if !connection.is_usable().await {
+    async fn put_idle(&self, mut connection: TargetConnection, headers: &HeaderMap, now: Duration) {
+        let kept = &mut connection.kept;
+        if !kept.is_usable().await {
             return;
         }
-        connection.idle_since = now;
-        connection.idle_timeout = keep_alive_timeout(headers).or(connection.idle_timeout);
+        kept.idle_since = now;
+        kept.idle_timeout = keep_alive_timeout(headers).or(kept.idle_timeout);
         let mut idle = self.idle();
         idle.push(connection);
         self.target.set_idle_connections(idle.len());
     }
 
-    fn idle(&self) -> std::sync::MutexGuard<'_, Vec<KeptConnection>> {
+    fn idle(&self) -> std::sync::MutexGuard<'_, Vec<TargetConnection>> {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
