A refusal of a target that names no call is no refusal, in the own interface too

In vanillapick-entry each attempt has a number of its own, but a refusal that names neither request nor attempt counted as the reply to whatever call its connection carried, so a write that runs could be sent again. Change: a refusal has to name the request and the attempt; otherwise it is a malformed reply and the outcome is unknown. Tests: two cases of a_reply_that_breaks_the_protocol_is_never_an_answer, which failed before.

--- a/crates/entry/src/target_client.rs
+++ b/crates/entry/src/target_client.rs
@@ -237,15 +237,12 @@
     }
 }
 
-/// Whether a refusal belongs to this call. A refusal may omit the request id and attempt; one that names a different
-/// call is no evidence about this one.
+/// Whether a refusal names this call. One that names no call or a different one, such as a late copy of an earlier refusal, is no
+/// evidence that this call has not run.
 fn is_refusal_of_call(context: &CallContext, attempt: &AttemptSpec, headers: &HeaderMap) -> bool {
     let wire_attempt = context.attempt_base.wrapping_add(attempt.number);
-    let is_request = !headers.contains_key(header::REQUEST_ID)
-        || text(headers, header::REQUEST_ID) == Some(&context.request_id);
-    let is_attempt = !headers.contains_key(header::ATTEMPT)
-        || number(headers, header::ATTEMPT) == Some(wire_attempt);
-    is_request && is_attempt
+    text(headers, header::REQUEST_ID) == Some(&context.request_id)
+        && number(headers, header::ATTEMPT) == Some(wire_attempt)
 }
 
 /// Whether the body is valid for the kind of call. The session parses the hits of a search, but does not validate the
--- a/crates/entry/tests/bad_replies.rs
+++ b/crates/entry/tests/bad_replies.rs
@@ -65,6 +65,18 @@
         reply.set("vp-reason", "draining");
         reply.set("vp-request-id", "other");
     }),
+    ("refusal without a request id", |reply| {
+        reply.status = 503;
+        reply.set("vp-outcome", "not_run");
+        reply.set("vp-reason", "shed");
+        reply.remove("vp-request-id");
+    }),
+    ("refusal without an attempt", |reply| {
+        reply.status = 503;
+        reply.set("vp-outcome", "not_run");
+        reply.set("vp-reason", "shed");
+        reply.remove("vp-attempt");
+    }),
     ("refusal of another attempt", |reply| {
         reply.status = 503;
         reply.set("vp-outcome", "not_run");
--- a/crates/lab/src/target_stand_in/target_call.rs
+++ b/crates/lab/src/target_stand_in/target_call.rs
@@ -139,26 +139,26 @@
     state.update_counts(|counts| counts.arrived += 1);
     let behaviour = state.behaviour();
     if behaviour.draining {
-        return Ok(refuse(state, TargetRefusal::Draining));
+        return Ok(refuse(state, call, TargetRefusal::Draining));
     }
     if call.tag.shard != state.setup.shard || !is_shard_map_served(state, call) {
-        return Ok(refuse(state, TargetRefusal::WrongShard));
+        return Ok(refuse(state, call, TargetRefusal::WrongShard));
     }
     let is_pinned = call.tag.snapshot != 0;
     if is_pinned && !behaviour.snapshots.contains(&call.tag.snapshot) {
-        return Ok(refuse(state, TargetRefusal::SnapshotMissing));
+        return Ok(refuse(state, call, TargetRefusal::SnapshotMissing));
     }
     if state.is_cold() && behaviour.cold_slots as usize <= state.limiter.in_flight() {
         state.update_counts(|counts| counts.over_cold_allowance += 1);
     }
     let Some(permit) = state.limiter.acquire(behaviour.queue) else {
         state.update_counts(|counts| counts.over_slots += 1);
-        return Ok(refuse(state, TargetRefusal::Shed));
+        return Ok(refuse(state, call, TargetRefusal::Shed));
     };
     let _permit = tokio::select! {
         biased;
-        () = cancel.notified() => return Ok(refuse_cancelled(state)),
-        () = time::sleep_until(call.deadline) => return Ok(refuse(state, TargetRefusal::Deadline)),
+        () = cancel.notified() => return Ok(refuse_cancelled(state, call)),
+        () = time::sleep_until(call.deadline) => return Ok(refuse(state, call, TargetRefusal::Deadline)),
         permit = permit => permit.map_err(|_| ConnectionClosed)?,
     };
     run_call(state, call, &cancel).await
@@ -270,17 +270,20 @@
     reply
 }
 
-fn refuse(state: &TargetState, reason: TargetRefusal) -> StandInReply {
+fn refuse(state: &TargetState, call: &TargetCall, reason: TargetRefusal) -> StandInReply {
     state.update_counts(|counts| *counts.refused.entry(reason.to_string()).or_default() += 1);
     let mut refusal = with_mark_headers(state, reply(StatusCode::SERVICE_UNAVAILABLE, ""));
-    set_header(refusal.headers_mut(), header::OUTCOME, "not_run");
-    set_header(refusal.headers_mut(), header::REASON, &reason.to_string());
+    let headers = refusal.headers_mut();
+    set_header(headers, header::REQUEST_ID, &call.tag.request_id);
+    set_header(headers, header::ATTEMPT, &call.tag.attempt.to_string());
+    set_header(headers, header::OUTCOME, "not_run");
+    set_header(headers, header::REASON, &reason.to_string());
     refusal
 }
 
-fn refuse_cancelled(state: &TargetState) -> StandInReply {
+fn refuse_cancelled(state: &TargetState, call: &TargetCall) -> StandInReply {
     state.update_counts(|counts| counts.cancelled += 1);
-    refuse(state, TargetRefusal::Cancelled)
+    refuse(state, call, TargetRefusal::Cancelled)
 }
 
 fn with_mark_headers(state: &TargetState, mut reply: StandInReply) -> StandInReply {
