An order to move a pool has an identity: evidence and records of earlier orders count no more

Cause: an order was known by its version. Evidence, start time and final record of the first order for a version counted for the second; evidence of processes that are gone stayed in the store. Ruled out: the clock of the restarted host; without the earlier move the same restart changes nothing. Change: the identity is the position of the order's document. Evidence names it; records are written on condition of the document, so that a later record is about the order and an earlier one is not. A document that is written again while its move runs goes on under its new identity. In a restored store an equal document is the same order for the grace period. A repeated order waits while a host of an earlier build is registered. The first registered host removes outdated evidence. A pool that is at the ordered version already, with no other targets, is served by all of them.

--- a/crates/dispatch/src/host_record.rs
+++ b/crates/dispatch/src/host_record.rs
@@ -22,4 +22,6 @@
     pub peer_address: Option<SocketAddr>,
     /// Address at which the host gathers parts of searches for other hosts of its failure domain; `None` if it does not.
     pub parts_address: Option<SocketAddr>,
+    /// Whether the host tells orders to move a pool to the same version apart; earlier builds of the program do not.
+    pub knows_order_ids: bool,
 }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod serving_view;
 pub mod shard_groups;
 pub mod silent_attempts;
+pub mod store_position;
 pub mod target_pick;
 pub mod target_reach;
 pub mod target_record;
--- a/crates/dispatch/src/registry.rs
+++ b/crates/dispatch/src/registry.rs
@@ -26,6 +26,9 @@
 use crate::shard_groups::PartHosts;
 use crate::shard_groups::domain_owners;
 use crate::silent_attempts::InstanceState;
+use crate::store_position::StoreEra;
+use crate::store_position::StorePosition;
+use crate::store_position::StoreRevision;
 use crate::target_record::TargetId;
 use crate::target_record::TargetRecord;
 use crate::target_state::TargetDistance;
@@ -40,6 +43,9 @@
 /// within 2 s; the rest is a margin for the watch.
 const EXPIRY_GRACE: Duration = Duration::from_millis(2300);
 
+/// Source of evidence on moves, which identifies its item in the store beside the pool.
+pub type EvidenceKey = Arc<str>;
+
 /// Time for which a target that has left stays unused if a restored store has its registration again. The store removes such
 /// a registration after some seconds without a message of the target.
 const DEPARTED_HOLD: Duration = Duration::from_secs(10);
@@ -67,12 +73,12 @@
     DomainOut(DomainId, bool),
     /// A host registered itself; `None` if its registration was removed.
     Host(HostId, Option<HostRecord>),
-    /// Operators ordered a pool to move to another version; `None` if they removed the order.
-    MoveOrder(PoolId, Option<MoveOrder>),
+    /// Operators ordered a pool to move to another version, by a document of this store revision; `None` if they removed it.
+    MoveOrder(PoolId, Option<MoveOrder>, StoreRevision),
     /// A host recorded the state of a move at this store revision.
     MoveRecord(PoolId, MoveRecord, u64),
-    /// Encoded evidence of a host on a move.
-    MoveEvidence(PoolId, Vec<u8>),
+    /// Encoded evidence of a host on a move; `None` if it was removed.
+    MoveEvidence(PoolId, EvidenceKey, Option<Vec<u8>>),
     /// A host marked a request as crashing targets; `None` if the store has no mark of it any more, which says nothing about
     /// the request.
     CrashMark(RequestFingerprint, Option<StoredMark>),
@@ -169,6 +175,10 @@
     routes: HashMap<Arc<str>, Arc<RouteState>>,
     /// Registrations that are removed before this time may be written again.
     expiry_grace_until: Duration,
+    /// Documents that are written before this time may repeat what a restored store lacks.
+    restoring_until: Duration,
+    /// Era of the revisions that are applied.
+    era: StoreEra,
     host_lease: Arc<HostLease>,
 }
 
@@ -190,6 +200,8 @@
             pools: HashMap::new(),
             routes: HashMap::new(),
             expiry_grace_until: Duration::ZERO,
+            restoring_until: Duration::ZERO,
+            era: 0,
             host_lease: Arc::default(),
         }
     }
@@ -214,6 +226,21 @@
         self.expiry_grace_until
     }
 
+    /// Sets the era of the revisions that are applied from now on.
+    pub fn set_era(&mut self, era: StoreEra) {
+        self.era = era;
+    }
+
+    /// Has repeated orders wait while a live host does not tell them from the earlier ones; returns whether that changes any.
+    fn update_holds(&mut self) -> bool {
+        let is_known = self.hosts.values().all(|host| host.knows_order_ids);
+        let moves = self.moves.values_mut();
+        moves.fold(false, |is_changed, pool_move| {
+            let is_held = !is_known && pool_move.is_repeat();
+            pool_move.set_held(is_held) || is_changed
+        })
+    }
+
     /// Applies a change; returns whether it affects the serving view.
     pub fn apply(&mut self, change: StoreChange, now: Duration) -> bool {
         let was_pending = change.pending_key().and_then(|key| self.pending.remove(&key));
@@ -233,22 +260,26 @@
             StoreChange::Host(host, Some(record)) => {
                 self.gone_hosts.remove(&host);
                 let before = self.hosts.insert(host.clone(), record);
-                before.as_ref() != self.hosts.get(&host)
+                let is_changed = before.as_ref() != self.hosts.get(&host);
+                self.update_holds() || is_changed
             }
             StoreChange::Host(host, None) => {
                 if let Some(record) = self.hosts.remove(&host) {
                     self.gone_hosts.insert(host, (record, now + GONE_HOST_RETENTION));
                 }
-                false
+                self.update_holds()
             }
-            StoreChange::MoveOrder(pool, order) => {
+            StoreChange::MoveOrder(pool, order, revision) => {
+                let id = StorePosition { era: self.era, revision };
+                let is_restoring = now < self.restoring_until;
                 let pool_move = self.moves.entry(pool).or_default();
-                let is_changed = pool_move.order != order;
-                pool_move.order = order;
-                is_changed
+                let is_changed = pool_move.apply_order(order, id, is_restoring);
+                self.update_holds() || is_changed
             }
             StoreChange::MoveRecord(pool, record, revision) => {
-                self.moves.entry(pool).or_default().apply_record(record, revision)
+                let pool_move = self.moves.entry(pool).or_default();
+                let is_changed = pool_move.apply_record(record, revision);
+                self.update_holds() || is_changed
             }
             // The caller handles evidence and crash marks.
             StoreChange::MoveEvidence(..)
@@ -269,7 +300,7 @@
                 StoreChange::Target(record) => drop(targets.remove(&record.id)),
                 StoreChange::DomainOut(domain, true) => drop(domains.remove(domain)),
                 StoreChange::Host(host, Some(_)) => drop(hosts.remove(host)),
-                StoreChange::MoveOrder(pool, Some(_)) => drop(orders.remove(pool)),
+                StoreChange::MoveOrder(pool, Some(_), _) => drop(orders.remove(pool)),
                 _ => {}
             }
             self.apply(change, now);
@@ -284,7 +315,7 @@
             self.apply(StoreChange::Host(host, None), now);
         }
         for pool in orders {
-            self.apply(StoreChange::MoveOrder(pool, None), now);
+            self.apply(StoreChange::MoveOrder(pool, None, 0), now);
         }
     }
 
@@ -295,6 +326,7 @@
         self.mark_store_recovered(now);
         self.moves.values_mut().for_each(PoolMove::forget_stored);
         let due = now + EXPIRY_GRACE;
+        self.restoring_until = due;
         let mut missing: BTreeMap<PendingKey, StoreChange> = BTreeMap::new();
         for id in self.records.keys() {
             missing.insert(PendingKey::Target(id.clone()), StoreChange::TargetGone(id.clone()));
@@ -308,7 +340,7 @@
         }
         for (pool, pool_move) in &self.moves {
             if pool_move.order.is_some() {
-                let change = StoreChange::MoveOrder(pool.clone(), None);
+                let change = StoreChange::MoveOrder(pool.clone(), None, 0);
                 missing.insert(PendingKey::MoveOrder(pool.clone()), change);
             }
         }
@@ -337,7 +369,7 @@
                 });
                 if is_old { DEPARTED_HOLD } else { Duration::ZERO }
             }
-            StoreChange::MoveOrder(pool, order) => {
+            StoreChange::MoveOrder(pool, order, _) => {
                 let known = self.moves.get(pool).and_then(|known| known.order.as_ref());
                 let is_other = known.is_some() && known != order.as_ref();
                 if is_other { EXPIRY_GRACE } else { Duration::ZERO }
@@ -533,7 +565,7 @@
             Self::TargetGone(id) => Some(PendingKey::Target(Arc::clone(id))),
             Self::DomainOut(domain, _) => Some(PendingKey::DomainOut(Arc::clone(domain))),
             Self::Host(host, _) => Some(PendingKey::Host(Arc::clone(host))),
-            Self::MoveOrder(pool, _) => Some(PendingKey::MoveOrder(Arc::clone(pool))),
+            Self::MoveOrder(pool, ..) => Some(PendingKey::MoveOrder(Arc::clone(pool))),
             Self::Config(_)
             | Self::MoveRecord(..)
             | Self::MoveEvidence(..)
--- a/crates/dispatch/src/version_split.rs
+++ b/crates/dispatch/src/version_split.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 
 use crate::config_document::PoolId;
+use crate::store_position::StorePosition;
+use crate::store_position::StoreRevision;
 use crate::target_record::TargetVersion;
 use crate::target_state::TargetState;
 
@@ -17,6 +19,12 @@
     pub duration: Duration,
 }
 
+/// Identity of an order: where its document was written.
+///
+/// Two orders for one version are different moves. A document that is written again while its move runs is the same move under
+/// another identity.
+pub type OrderId = StorePosition;
+
 /// State of a move as the hosts have recorded it in the store.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct MoveRecord {
@@ -41,12 +49,23 @@
 pub struct PoolMove {
     /// Current order; `None` if it was removed.
     pub order: Option<MoveOrder>,
+    /// Identity of the current order or, if it was removed, of the last one.
+    pub order_id: OrderId,
+    /// Identity that the order had when this host saw its move begin. Invariant: not later than `order_id`.
+    pub first_id: OrderId,
+    /// Number of moves that this host has seen begin.
+    pub move_count: u64,
+    /// Whether the move of the current order has ended. Invariant: `record` is then its final record.
+    has_ended: bool,
+    /// Whether the move waits, because a live host would take the record of an earlier order for the same version for that of
+    /// this one.
+    is_held: bool,
     /// Record of the current order or of an earlier one.
     pub record: Option<MoveRecord>,
     /// Record in the store. After the store was restored it may be behind `record`, which is then written again.
     pub stored: Option<MoveRecord>,
     /// Store revision of `stored`; 0 if there is none.
-    pub record_revision: u64,
+    pub record_revision: StoreRevision,
 }
 
 /// How requests of a pool are divided among its targets.
@@ -62,6 +81,12 @@
     },
 }
 
+impl MoveRecord {
+    fn is_final(&self) -> bool {
+        self.state != MoveRecordState::Running
+    }
+}
+
 impl VersionSplit {
     /// Whether a request may go to `target`. `draw` is the random number of the request and `share` the fraction of
     /// requests for the new version, both from 0 to 1.
@@ -74,27 +99,81 @@
 }
 
 impl PoolMove {
-    /// The order in progress; `None` if there is no order or its move has ended.
+    /// The order in progress; `None` if there is no order, its move has ended or it waits for hosts of earlier builds.
     pub fn active_order(&self) -> Option<&MoveOrder> {
-        let order = self.order.as_ref()?;
-        let has_ended = self.record.as_ref().is_some_and(|record| {
-            record.version == order.version && record.state != MoveRecordState::Running
-        });
-        (!has_ended).then_some(order)
+        self.order.as_ref().filter(|_| !self.has_ended && !self.is_held)
+    }
+
+    /// Store revision of the order's document; 0 if there is none.
+    pub fn order_revision(&self) -> StoreRevision {
+        self.order.as_ref().map_or(0, |_| self.order_id.revision)
+    }
+
+    /// Whether the current order is for the version of the last move, so that earlier builds of the program do not tell them
+    /// apart.
+    pub(crate) fn is_repeat(&self) -> bool {
+        let record = self.record.as_ref().filter(|record| self.is_about_version(record));
+        !self.has_ended && record.is_some_and(MoveRecord::is_final)
+    }
+
+    /// Has the move wait or not; returns whether that changes.
+    pub(crate) fn set_held(&mut self, is_held: bool) -> bool {
+        std::mem::replace(&mut self.is_held, is_held) != is_held
+    }
+
+    /// Applies the order of a document; returns whether another move begins or this one ends.
+    ///
+    /// While writers repeat what a restored store lacks (`is_restoring`), an equal document is the same order.
+    pub(crate) fn apply_order(
+        &mut self,
+        order: Option<MoveOrder>,
+        id: OrderId,
+        is_restoring: bool,
+    ) -> bool {
+        let Some(order) = order else {
+            self.has_ended = false;
+            return self.order.take().is_some();
+        };
+        let is_repeated = self.has_ended && self.record_revision < id.revision && !is_restoring;
+        self.order_id = id;
+        if self.order.as_ref() == Some(&order) && !is_repeated {
+            return false;
+        }
+        self.order = Some(order);
+        self.begin();
+        let record = self.record.as_ref().filter(|record| self.is_about_version(record));
+        self.has_ended =
+            record.is_some_and(MoveRecord::is_final) && id.revision < self.record_revision;
+        true
     }
 
-    /// Applies a record that was read from the store; returns whether the effective record changes.
-    pub(crate) fn apply_record(&mut self, record: MoveRecord, revision: u64) -> bool {
+    /// Applies a record that was read from the store; returns whether the move changes.
+    ///
+    /// Records are written on condition of the order's document, so one that is later than the document is about the order.
+    pub(crate) fn apply_record(&mut self, record: MoveRecord, revision: StoreRevision) -> bool {
         if revision <= self.record_revision {
             return false;
         }
-        self.record_revision = revision;
+        let known_revision = std::mem::replace(&mut self.record_revision, revision);
         self.stored = Some(record.clone());
-        if self.is_behind(&record) || self.record.as_ref() == Some(&record) {
+        if self.is_behind(&record) {
             return false;
         }
+        let was_running = self.record.as_ref().is_some_and(|known| {
+            known.version == record.version && !known.is_final() && known_revision != 0
+        });
+        if self.is_about_version(&record) {
+            let is_of_order = self.order_id.revision < revision;
+            // What this host did not see: the move ended, and the order was repeated.
+            let is_of_next = !is_of_order || !record.is_final();
+            if was_running && is_of_next {
+                self.begin();
+            }
+            self.has_ended = record.is_final() && (is_of_order || self.has_ended);
+        }
+        let is_changed = self.record.as_ref() != Some(&record);
         self.record = Some(record);
-        true
+        is_changed
     }
 
     /// Forgets what the store holds, because it was restored from a copy.
@@ -103,20 +182,30 @@
         self.record_revision = 0;
     }
 
-    /// The record to write, if the store lacks it since it was restored.
+    /// The record to write, if the store lacks it since it was restored, or if the document of the ended order was written again
+    /// after it: hosts that start later would take that for another order.
     pub fn lost_record(&self) -> Option<&MoveRecord> {
-        self.record.as_ref().filter(|record| self.stored.as_ref() != Some(record))
+        let is_outdated = self.has_ended && self.record_revision < self.order_revision();
+        self.record.as_ref().filter(|record| is_outdated || self.stored.as_ref() != Some(record))
+    }
+
+    fn begin(&mut self) {
+        self.move_count += 1;
+        self.first_id = self.order_id;
+        self.has_ended = false;
     }
 
-    /// Whether a stored record is from before the known one: the known one is about the current order, and the stored one is
-    /// about another or has not ended.
+    fn is_about_version(&self, record: &MoveRecord) -> bool {
+        self.order.as_ref().is_some_and(|order| order.version == record.version)
+    }
+
+    /// Whether a stored record is from before the known one: the known one is about the current version, and the stored one is
+    /// about another, or the move of the order has ended and the stored one has not.
     fn is_behind(&self, stored: &MoveRecord) -> bool {
-        let (Some(order), Some(known)) = (&self.order, &self.record) else { return false };
-        if known.version != order.version {
-            return false;
-        }
-        let is_ended = |record: &MoveRecord| record.state != MoveRecordState::Running;
-        stored.version != known.version || (is_ended(known) && !is_ended(stored))
+        let known = self.record.as_ref().filter(|known| self.is_about_version(known));
+        known.is_some_and(|known| {
+            stored.version != known.version || (self.has_ended && !stored.is_final())
+        })
     }
 
     /// Removes targets that must not get requests; returns how requests are divided among the remaining ones.
@@ -129,12 +218,12 @@
             others.retain(|target| !has_version(target, version));
         }
         match &self.record {
-            Some(MoveRecord { version, state: MoveRecordState::Completed })
+            Some(MoveRecord { version, state: MoveRecordState::Completed, .. })
                 if others.iter().any(|target| has_version(target, version)) =>
             {
                 others.retain(|target| has_version(target, version));
             }
-            Some(MoveRecord { version, state: MoveRecordState::RolledBack }) => {
+            Some(MoveRecord { version, state: MoveRecordState::RolledBack, .. }) => {
                 others.retain(|target| !has_version(target, version));
                 retain_majority_version(&mut others);
             }
@@ -145,6 +234,12 @@
             return VersionSplit::Single;
         };
         targets.retain(|target| has_version(target, version));
+        let is_there = self.record.as_ref().is_some_and(|record| {
+            record.version == *version && record.state == MoveRecordState::Completed
+        });
+        if others.is_empty() && is_there {
+            return VersionSplit::Single;
+        }
         targets.append(&mut others);
         VersionSplit::Moving { version: Arc::clone(version) }
     }
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -70,6 +70,7 @@
         domain: Some(domain.into()),
         peer_address: Some(([127, 0, 0, 1], port).into()),
         parts_address: None,
+        knows_order_ids: true,
     }
 }
 
--- a/crates/dispatch/tests/restored_registry.rs
+++ b/crates/dispatch/tests/restored_registry.rs
@@ -136,9 +136,9 @@
 fn a_move_order_stays_until_it_is_written_again() {
     let order = |version: &str| MoveOrder { version: version.into(), duration: ms(8000) };
     let mut registry = one_pool();
-    registry.apply(StoreChange::MoveOrder("p".into(), Some(order("v3"))), ms(15_000));
+    registry.apply(StoreChange::MoveOrder("p".into(), Some(order("v3")), 40), ms(15_000));
     let mut restored = targets();
-    restored.push(StoreChange::MoveOrder("p".into(), Some(order("v2"))));
+    restored.push(StoreChange::MoveOrder("p".into(), Some(order("v2")), 30));
     registry.apply_restored_list(restored, LISTED);
     assert_eq!(registry.moves()["p"].order, Some(order("v3")));
     registry.expire(CONFIRMED);
@@ -157,10 +157,10 @@
     let (running, completed) =
         (record(MoveRecordState::Running), record(MoveRecordState::Completed));
     let mut registry = one_pool();
-    registry.apply(StoreChange::MoveOrder("p".into(), Some(order.clone())), ms(1000));
+    registry.apply(StoreChange::MoveOrder("p".into(), Some(order.clone()), 30), ms(1000));
     registry.apply(StoreChange::MoveRecord("p".into(), completed.clone(), 60), ms(9000));
     let mut restored = targets();
-    restored.push(StoreChange::MoveOrder("p".into(), Some(order)));
+    restored.push(StoreChange::MoveOrder("p".into(), Some(order), 30));
     restored.push(StoreChange::MoveRecord("p".into(), running, 40));
     registry.apply_restored_list(restored, LISTED);
     let known = &registry.moves()["p"];
--- a/crates/relay/src/host_registration.rs
+++ b/crates/relay/src/host_registration.rs
@@ -119,6 +119,7 @@
         domain: Some(settings.domain.as_str().into()),
         peer_address: settings.peers,
         parts_address: settings.parts,
+        knows_order_ids: true,
     };
     store.send((wire.register_host)(&settings.host, &record, lease), Duration::ZERO).await?;
     tracing::info!(lease, era, "host registered");
--- a/crates/relay/src/move_tracker.rs
+++ b/crates/relay/src/move_tracker.rs
@@ -16,10 +16,12 @@
 use serde::Serialize;
 use vanillapick_dispatch::attempt::AttemptOutcome;
 use vanillapick_dispatch::config_document::PoolId;
+use vanillapick_dispatch::registry::EvidenceKey;
 use vanillapick_dispatch::target_state::TargetState;
 use vanillapick_dispatch::version_split::MoveOrder;
 use vanillapick_dispatch::version_split::MoveRecord;
 use vanillapick_dispatch::version_split::MoveRecordState;
+use vanillapick_dispatch::version_split::OrderId;
 use vanillapick_dispatch::version_split::PoolMove;
 use vanillapick_dispatch::version_split::PoolMoves;
 use vanillapick_model::peer_message;
@@ -38,7 +40,8 @@
 use crate::relay_host::RelayHost;
 use crate::store_client::StoreClient;
 use crate::store_client::StoreError;
-use crate::wire::StoreRevision;
+use crate::wire::MoveRevisions;
+use crate::wire::StorePosition;
 
 /// Interval between updates of the traffic shares.
 const SHARE_UPDATE_PERIOD: Duration = Duration::from_millis(200);
@@ -49,12 +52,45 @@
 /// A reply counts as slow if it takes this many times the old version's high latency quantile.
 const SLOW_LATENCY_FACTOR: f64 = 1.5;
 
+/// Maximum number of items of outdated evidence that one call removes. A transaction of the store has at most 32 entries.
+const MAX_REMOVED_ITEMS: usize = 30;
+
 /// Running moves with the evidence about them.
 #[derive(Default)]
 pub struct MoveTracker {
     moves: Mutex<BTreeMap<PoolId, TrackedMove>>,
-    /// Records that a restored store lacks, with the revision of what it has in their place.
-    lost_records: Mutex<Vec<(PoolId, MoveRecord, StoreRevision)>>,
+    /// Records that a restored store lacks, with the revisions of what it has in their place.
+    lost_records: Mutex<Vec<(PoolId, MoveRecord, MoveRevisions)>>,
+    stored_evidence: Mutex<StoredItems>,
+}
+
+/// Items of evidence in the store, with the order that each is about; `None` if an earlier build of the program has written it.
+#[derive(Default)]
+struct StoredItems {
+    orders: BTreeMap<(PoolId, EvidenceKey), Option<OrderId>>,
+    /// First identity of the latest order of each pool, and whether its move runs.
+    latest: BTreeMap<PoolId, (OrderId, bool)>,
+    /// Whether this host removes what is outdated.
+    is_remover: bool,
+}
+
+impl StoredItems {
+    /// Outdated items of one pool: evidence about an earlier order, or about any if no move runs. What earlier builds have
+    /// written names no order, so it stays while a move runs.
+    fn find_outdated(&self) -> Option<(PoolId, Vec<EvidenceKey>)> {
+        if !self.is_remover {
+            return None;
+        }
+        let is_outdated = |pool: &PoolId, order: Option<OrderId>| {
+            let (latest, is_running) = self.latest.get(pool).copied().unwrap_or_default();
+            order.map_or(!is_running, |order| order < latest || !is_running)
+        };
+        let outdated = self.orders.iter().filter(|((pool, _), order)| is_outdated(pool, **order));
+        let outdated: Vec<&(PoolId, EvidenceKey)> = outdated.map(|(item, _)| item).collect();
+        let pool = &outdated.first()?.0;
+        let sources = outdated.iter().filter(|(of, _)| of == pool).map(|(_, source)| source);
+        Some((Arc::clone(pool), sources.take(MAX_REMOVED_ITEMS).cloned().collect()))
+    }
 }
 
 struct TrackedMove {
@@ -77,27 +113,39 @@
 
 impl MoveTracker {
     /// Starts and ends tracking according to the move orders and records in the store. `wall` is the start time of new
-    /// moves.
-    pub(crate) fn set_moves(&self, moves: &PoolMoves, wall: SystemTime) {
+    /// moves. One host, the `is_remover`, removes the evidence about earlier orders.
+    pub(crate) fn set_moves(&self, moves: &PoolMoves, is_remover: bool, wall: SystemTime) {
+        let latest = moves.iter().map(|(pool, pool_move)| {
+            (Arc::clone(pool), (pool_move.first_id, pool_move.active_order().is_some()))
+        });
+        {
+            let mut stored = self.stored_evidence();
+            stored.latest = latest.collect();
+            stored.is_remover = is_remover;
+        }
         let lost = moves.iter().filter_map(|(pool, pool_move)| {
             let record = pool_move.lost_record()?.clone();
-            Some((Arc::clone(pool), record, pool_move.record_revision))
+            Some((Arc::clone(pool), record, revisions(pool_move)))
         });
         *self.lost_records() = lost.collect();
         let mut moves_by_pool = self.moves();
-        let ids: BTreeMap<&PoolId, String> = moves
-            .iter()
-            .filter_map(|(pool, pool_move)| Some((pool, move_id(pool, pool_move.active_order()?))))
-            .collect();
-        moves_by_pool.retain(|pool, tracked| ids.get(pool) == Some(&tracked.row.id));
-        for (pool, id) in ids {
-            let pool_move = &moves[pool];
+        moves_by_pool.retain(|pool, tracked| {
+            let running = moves.get(pool).filter(|pool_move| pool_move.active_order().is_some());
+            running.is_some_and(|running| running.move_count == tracked.pool_move.move_count)
+        });
+        for (pool, pool_move) in moves {
             let Some(order) = pool_move.active_order() else { continue };
+            let id = move_id(pool, order, pool_move.order_id);
             let entry = moves_by_pool.entry(Arc::clone(pool)).or_insert_with(|| {
-                tracing::info!(pool = &**pool, version = &*order.version, "move started");
-                TrackedMove::new(id, order, unix_ms(wall))
+                tracing::info!(pool = &**pool, version = &*order.version, id, "move started");
+                TrackedMove::new(id.clone(), order, unix_ms(wall))
             });
             entry.pool_move = pool_move.clone();
+            if entry.row.id != id {
+                // The document was written again; hosts that start now know the move by this identity alone.
+                entry.row.id = id;
+                entry.is_written = false;
+            }
         }
     }
 
@@ -130,9 +178,22 @@
         tracked.is_written = false;
     }
 
-    /// Merges the evidence of another host into a tracked move.
-    pub(crate) fn merge_evidence(&self, pool: &PoolId, encoded: &[u8]) {
-        let stored: StoredEvidence = match peer_message::decode(encoded) {
+    /// Merges the evidence of another host into a tracked move, if it is about the same order.
+    pub(crate) fn merge_evidence(
+        &self,
+        pool: &PoolId,
+        source: EvidenceKey,
+        encoded: Option<&[u8]>,
+    ) {
+        let item = (Arc::clone(pool), source);
+        let Some(encoded) = encoded else {
+            self.stored_evidence().orders.remove(&item);
+            return;
+        };
+        let stored: Result<StoredEvidence, _> = peer_message::decode(encoded);
+        let order = stored.as_ref().ok().and_then(|stored| read_order_id(&stored.move_id));
+        self.stored_evidence().orders.insert(item, order);
+        let stored: StoredEvidence = match stored {
             Ok(stored) => stored,
             Err(error) => {
                 tracing::warn!(pool = &**pool, %error, "evidence about a move cannot be decoded");
@@ -140,10 +201,8 @@
             }
         };
         let mut moves = self.moves();
-        let Some(tracked) = moves.get_mut(pool).filter(|tracked| tracked.row.id == stored.move_id)
-        else {
-            return;
-        };
+        let tracked = moves.get_mut(pool).filter(|tracked| tracked.is_about(&stored.move_id));
+        let Some(tracked) = tracked else { return };
         tracked.adopt_earlier_start(stored.start_ms);
         let mut evidence =
             MoveEvidence { taken_back: stored.taken_back, ..MoveEvidence::default() };
@@ -156,7 +215,16 @@
         self.moves().values_mut().for_each(|tracked| tracked.is_written = false);
     }
 
-    fn lost_records(&self) -> MutexGuard<'_, Vec<(PoolId, MoveRecord, StoreRevision)>> {
+    /// Forgets which evidence the store has, because all of it is read again.
+    pub(crate) fn forget_stored(&self) {
+        self.stored_evidence().orders.clear();
+    }
+
+    fn stored_evidence(&self) -> MutexGuard<'_, StoredItems> {
+        self.stored_evidence.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn lost_records(&self) -> MutexGuard<'_, Vec<(PoolId, MoveRecord, MoveRevisions)>> {
         self.lost_records.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -197,7 +265,8 @@
 /// Pending write to the store.
 enum MoveWrite {
     Evidence(PoolId, Vec<u8>),
-    Record(PoolId, MoveRecord, StoreRevision),
+    Record(PoolId, MoveRecord, MoveRevisions),
+    Removal(PoolId, Vec<EvidenceKey>),
 }
 
 /// Updates the shares of all moves, publishes evidence and records outcomes until the process ends.
@@ -224,8 +293,10 @@
         let lost = host.moves.lost_records().clone();
         writes.extend(
             lost.into_iter()
-                .map(|(pool, record, revision)| MoveWrite::Record(pool, record, revision)),
+                .map(|(pool, record, revisions)| MoveWrite::Record(pool, record, revisions)),
         );
+        let outdated = host.moves.stored_evidence().find_outdated();
+        writes.extend(outdated.map(|(pool, sources)| MoveWrite::Removal(pool, sources)));
     }
     for (pool, tracked) in host.moves.moves().iter_mut() {
         let status = move_status(&tracked.row, wall, &tracked.evidence);
@@ -256,14 +327,22 @@
         let Some(order) = tracked.pool_move.active_order() else { continue };
         let record = MoveRecord { version: Arc::clone(&order.version), state };
         if tracked.pool_move.record.as_ref() != Some(&record) {
-            let revision = tracked.pool_move.record_revision;
-            writes.push(MoveWrite::Record(Arc::clone(pool), record, revision));
+            let revisions = revisions(&tracked.pool_move);
+            writes.push(MoveWrite::Record(Arc::clone(pool), record, revisions));
         }
     }
     writes
 }
 
 impl TrackedMove {
+    /// Whether the id of a move is one that this move has or had.
+    fn is_about(&self, move_id: &str) -> bool {
+        let name = |id: &str| id.rsplit_once('@').map(|(name, _)| name.to_owned());
+        let PoolMove { first_id, order_id, .. } = self.pool_move;
+        name(move_id) == name(&self.row.id)
+            && read_order_id(move_id).is_some_and(|id| first_id <= id && id <= order_id)
+    }
+
     fn encode(&self, source: &str) -> Option<Vec<u8>> {
         let counts = self.evidence.hosts.get(source).cloned().unwrap_or_default();
         let stored = StoredEvidence {
@@ -290,13 +369,21 @@
         MoveWrite::Evidence(pool, encoded) => {
             store.send((wire.put_evidence)(&pool, source, &encoded), Duration::ZERO).await?;
         }
-        MoveWrite::Record(pool, record, revision) => {
-            let call = (wire.record_move)(&pool, &record, revision);
+        MoveWrite::Removal(pool, sources) => {
+            let call = (wire.remove_evidence)(&pool, &sources);
+            store.send(call, Duration::ZERO).await?;
+            let mut stored = host.moves.stored_evidence();
+            for source in sources {
+                stored.orders.remove(&(Arc::clone(&pool), source));
+            }
+        }
+        MoveWrite::Record(pool, record, revisions) => {
+            let call = (wire.record_move)(&pool, &record, revisions);
             match store.send(call, Duration::ZERO).await {
                 Ok(_) => {
                     tracing::info!(pool = &*pool, version = &*record.version, state = ?record.state, "move recorded")
                 }
-                // Another host has written the record, which arrives with the watch.
+                // Another host has written the record, or operators the order; the watch brings what has changed.
                 Err(error) if error.has_status(hyper::StatusCode::PRECONDITION_FAILED) => {}
                 Err(error) => return Err(error),
             }
@@ -305,6 +392,18 @@
     Ok(())
 }
 
-fn move_id(pool: &PoolId, order: &MoveOrder) -> String {
-    format!("{pool}/{}", order.version)
+fn revisions(pool_move: &PoolMove) -> MoveRevisions {
+    MoveRevisions { record: pool_move.record_revision, order: pool_move.order_revision() }
+}
+
+/// Id of the move of an order in the evidence about it. Earlier builds of the program name the pool and the version alone.
+fn move_id(pool: &PoolId, order: &MoveOrder, id: OrderId) -> String {
+    format!("{pool}/{}@{}.{}", order.version, id.era, id.revision)
+}
+
+/// The order in the id of a move.
+fn read_order_id(move_id: &str) -> Option<OrderId> {
+    let (_, id) = move_id.rsplit_once('@')?;
+    let (era, revision) = id.split_once('.')?;
+    Some(StorePosition { era: era.parse().ok()?, revision: revision.parse().ok()? })
 }
--- a/crates/relay/src/store_follower.rs
+++ b/crates/relay/src/store_follower.rs
@@ -160,6 +160,8 @@
         let changes: Vec<StoreChange> =
             items.iter().filter_map(|item| self.read_change(item)).collect();
         self.host.crash_state.reset_entries();
+        self.host.moves.forget_stored();
+        self.registry.set_era(position.era);
         let is_shared = |change: &StoreChange| {
             matches!(
                 change,
@@ -474,13 +476,16 @@
 
     fn apply(&mut self, change: StoreChange, now: Duration) -> bool {
         match change {
-            StoreChange::MoveEvidence(pool, encoded) => {
-                self.host.moves.merge_evidence(&pool, &encoded);
+            StoreChange::MoveEvidence(pool, source, encoded) => {
+                self.host.moves.merge_evidence(&pool, source, encoded.as_deref());
                 false
             }
             // Marks and evidence of crashing requests are no part of the registry.
             change if self.host.crash_state.apply(&change, &self.host.settings.host) => false,
-            change @ (StoreChange::MoveOrder(..) | StoreChange::MoveRecord(..)) => {
+            // Moves wait for hosts of earlier builds, and one of the hosts removes outdated evidence.
+            change @ (StoreChange::MoveOrder(..)
+            | StoreChange::MoveRecord(..)
+            | StoreChange::Host(..)) => {
                 let is_changed = self.registry.apply(change, now);
                 self.set_moves();
                 is_changed
@@ -490,7 +495,9 @@
     }
 
     fn set_moves(&self) {
-        self.host.moves.set_moves(self.registry.moves(), SystemTime::now());
+        let first = self.registry.hosts().keys().next();
+        let is_remover = first.is_some_and(|host| **host == *self.host.settings.host);
+        self.host.moves.set_moves(self.registry.moves(), is_remover, SystemTime::now());
     }
 
     fn install(&mut self) {
--- a/crates/relay/src/wire.rs
+++ b/crates/relay/src/wire.rs
@@ -12,7 +12,11 @@
 use vanillapick_dispatch::attempt::NotRunCause;
 use vanillapick_dispatch::crash_guard::CrashMark;
 use vanillapick_dispatch::host_record::HostRecord;
+use vanillapick_dispatch::registry::EvidenceKey;
 use vanillapick_dispatch::registry::StoreChange;
+pub use vanillapick_dispatch::store_position::StoreEra;
+pub use vanillapick_dispatch::store_position::StorePosition;
+pub use vanillapick_dispatch::store_position::StoreRevision;
 use vanillapick_dispatch::version_split::MoveRecord;
 
 /// All protocols of one platform.
@@ -140,22 +144,17 @@
     pub put_crash_evidence: fn(&str, &[u8], LeaseId) -> StoreCall,
     /// Writes the evidence that one source has about the move of a pool.
     pub put_evidence: fn(&str, &str, &[u8]) -> StoreCall,
-    /// Records the state of a pool's move if the record is still at this revision; 0 if it must not exist.
-    pub record_move: fn(&str, &MoveRecord, StoreRevision) -> StoreCall,
+    /// Removes the evidence that these sources have written about moves of a pool.
+    pub remove_evidence: fn(&str, &[EvidenceKey]) -> StoreCall,
+    /// Records the state of a pool's move if the record and the order are still at these revisions; 0 if one must not exist.
+    pub record_move: fn(&str, &MoveRecord, MoveRevisions) -> StoreCall,
 }
 
-/// Position in the store's history of changes; increases with every write of an era.
-pub type StoreRevision = u64;
-
-/// Number of times that the store was restored from an earlier copy of its contents. Revisions and leases are valid within
-/// an era only: the next one gives out again what was given out after the copy was made.
-pub type StoreEra = u64;
-
-/// Position in the histories of the store: positions of a later era are greater.
-#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
-pub struct StorePosition {
-    pub era: StoreEra,
-    pub revision: StoreRevision,
+/// Revisions of the documents about the move of a pool; 0 for one that does not exist.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct MoveRevisions {
+    pub record: StoreRevision,
+    pub order: StoreRevision,
 }
 
 /// Identifies a lease in later calls of the store.
