A move begins without the share of the last move of its pool

The share of the new version is kept with the pool. After a completed move it is 1, and the next move sent all requests to its version until the first update of shares, up to 200 ms later. Change: a move that begins sets the share to 0. Test: a_move_begins_without_the_share_of_the_last_one, which failed before (1 in place of 0).

--- a/crates/dispatch/src/registry.rs
+++ b/crates/dispatch/src/registry.rs
@@ -231,6 +231,17 @@
         self.era = era;
     }
 
+    /// Applies a change to the move of a pool. A move that begins has no share of the requests yet.
+    fn apply_to_move(&mut self, pool: &PoolId, apply: impl FnOnce(&mut PoolMove) -> bool) -> bool {
+        let pool_move = self.moves.entry(Arc::clone(pool)).or_default();
+        let before = pool_move.move_count;
+        let is_changed = apply(pool_move);
+        if let Some(state) = self.pools.get(pool).filter(|_| before != pool_move.move_count) {
+            state.set_new_version_share(0.0);
+        }
+        is_changed
+    }
+
     /// Has repeated orders wait while a live host does not tell them from the earlier ones; returns whether that changes any.
     fn update_holds(&mut self) -> bool {
         let is_known = self.hosts.values().all(|host| host.knows_order_ids);
@@ -272,13 +283,14 @@
             StoreChange::MoveOrder(pool, order, revision) => {
                 let id = StorePosition { era: self.era, revision };
                 let is_restoring = now < self.restoring_until;
-                let pool_move = self.moves.entry(pool).or_default();
-                let is_changed = pool_move.apply_order(order, id, is_restoring);
+                let is_changed = self.apply_to_move(&pool, |pool_move| {
+                    pool_move.apply_order(order, id, is_restoring)
+                });
                 self.update_holds() || is_changed
             }
             StoreChange::MoveRecord(pool, record, revision) => {
-                let pool_move = self.moves.entry(pool).or_default();
-                let is_changed = pool_move.apply_record(record, revision);
+                let is_changed =
+                    self.apply_to_move(&pool, |pool_move| pool_move.apply_record(record, revision));
                 self.update_holds() || is_changed
             }
             // The caller handles evidence and crash marks.
--- a/crates/dispatch/tests/move_orders.rs
+++ b/crates/dispatch/tests/move_orders.rs
@@ -185,3 +185,22 @@
     writeln!(lines, "all know orders: {}", describe(&registry)).expect("text can be written");
     insta::assert_snapshot!(lines);
 }
+
+/// Guards against a new version that gets the share of the last move, which is all requests, until the first update of its own.
+#[test]
+fn a_move_begins_without_the_share_of_the_last_one() {
+    let mut registry = registry();
+    let moves = [
+        vec![order("v2", 10), record("v2", Running, 11), record("v2", Completed, 15)],
+        vec![order("v1", 20), record("v1", RolledBack, 25)],
+        vec![order("v1", 30)],
+    ];
+    let mut shares = Vec::new();
+    for changes in moves {
+        watch(&mut registry, changes);
+        let view = registry.view().expect("there is a configuration");
+        shares.push(view.pools["p"].state.new_version_share());
+        view.pools["p"].state.set_new_version_share(1.0);
+    }
+    assert_eq!(shares, [0.0, 0.0, 0.0]);
+}
