Only a final status is an answer of a target or of another host

Cause: every reply that was no success counted as the target's own failure and was forwarded; 101, 600 and 999, and 304 without a stamp, were answers that way. Replies of hosts to forwarded requests were read the same way, with any status from 100 to 999. Ruled out: interim responses in general; 103 and 199 are passed over by hyper, and the request waits for what follows. Change: a reply needs a status from 200 to 599, and a stamp unless it is an error; otherwise it is lost, its connection is closed, and the caller gets another target's answer or 502. Replies of other hosts are read by the same check.

--- a/crates/relay/src/forward_client.rs
+++ b/crates/relay/src/forward_client.rs
@@ -32,6 +32,7 @@
 use crate::parts_wire::decode_headers;
 use crate::relay_host::RelayHost;
 use crate::relay_host::RelayView;
+use crate::reply_status::is_final_status;
 
 /// Number of hosts that are asked in turn if they refuse or cannot be reached. A refusal costs a round trip.
 const MAX_HOSTS_ASKED: usize = 8;
@@ -220,9 +221,9 @@
     if request_id != *expected {
         return Err(lost("the reply belongs to another request"));
     }
+    let status = StatusCode::from_u16(status).ok().filter(|status| is_final_status(*status));
     let mut response = Response::new(Full::new(body));
-    *response.status_mut() =
-        StatusCode::from_u16(status).map_err(|_| lost("the reply has no valid status"))?;
+    *response.status_mut() = status.ok_or_else(|| lost("the reply has no final status"))?;
     *response.headers_mut() =
         decode_headers(&headers).ok_or_else(|| lost("the reply has invalid headers"))?;
     Ok(response)
--- a/crates/relay/src/move_tracker.rs
+++ b/crates/relay/src/move_tracker.rs
@@ -401,7 +401,7 @@
     format!("{pool}/{}@{}.{}", order.version, id.era, id.revision)
 }
 
-/// The order in the id of a move.
+/// Parses the identity after the last `@`; `None` for the ids of earlier builds.
 fn read_order_id(move_id: &str) -> Option<OrderId> {
     let (_, id) = move_id.rsplit_once('@')?;
     let (era, revision) = id.split_once('.')?;
--- a/crates/relay/src/target_attempt.rs
+++ b/crates/relay/src/target_attempt.rs
@@ -32,6 +32,7 @@
 use crate::kept_connection::ReplyLimits;
 use crate::relay_host::RelayHost;
 use crate::relay_host::RelayView;
+use crate::reply_status::is_final_status;
 use crate::request_limits::record_limit;
 use crate::request_limits::record_target_notice;
 use crate::sent_requests::RequestIdentity;
@@ -138,6 +139,9 @@
     };
     let identity = RequestIdentity { id: &request.request_id, deadline: request.deadline };
     let classify = |parts: &Parts| {
+        if !is_final_status(parts.status) {
+            return TargetReplyKind::Invalid("reply has no final status");
+        }
         (host.wire.target.read_head)(parts.status, &parts.headers, &request.request_id)
     };
     let reply = connections.call(identity, write, classify, &limits, || host.now()).await;
