vanillapick-entry: the replies of all targets share a part of the machine's memory

Callers saw (report of another operator): bytes without end fill the memory of the machine that called, and the requests of others end with it. Cause: a reply was bounded at 64 MiB, and their number was not weighed against the memory. Change: the relay's bound over all replies moves to vanillapick-platform and serves both programs. The new setting memory_mb (256) gives the machine's memory; a quarter is for replies, and the one that grows beyond it gives way (vp_rejected_replies_total).

--- a/crates/entry/src/entry_host.rs
+++ b/crates/entry/src/entry_host.rs
@@ -17,6 +17,7 @@
 use vanillapick_model::pool::PoolRow;
 use vanillapick_model::wall_clock::unix_ms;
 use vanillapick_platform::client::PlatformClient;
+use vanillapick_platform::reply_memory::ReplyMemory;
 use vanillapick_policy::host_state::HostProfile;
 use vanillapick_policy::host_state::HostState;
 use vanillapick_settings::entry_settings::EntrySettings;
@@ -78,10 +79,11 @@
             queue: settings.queue,
             started_ms,
         };
+        let memory = ReplyMemory::new(settings.memory_mb << 20);
         Self {
             policy: Arc::new(HostState::new(profile)),
             gate: AdmissionGate::default(),
-            targets: TargetClient::new(settings.domain.clone(), rule.clone()),
+            targets: TargetClient::new(settings.domain.clone(), rule.clone(), memory),
             peers: PeerLink::new(me.clone(), &settings.peers, rand::random()),
             platform: PlatformClient::new(settings.platform, settings.platform_timeout),
             claim_lease: ClaimLease::default(),
--- a/crates/entry/src/peer_link.rs
+++ b/crates/entry/src/peer_link.rs
@@ -29,6 +29,7 @@
 use vanillapick_model::host::HostId;
 use vanillapick_model::table::ConfigTable;
 use vanillapick_platform::reply_body::read_reply_body;
+use vanillapick_platform::reply_memory::ReplyMemory;
 
 use crate::entry_host::EntryHost;
 use crate::entry_host::lock;
@@ -248,7 +249,10 @@
         if !response.status().is_success() {
             return None;
         }
-        let answer = read_reply_body(response, MAX_ANSWER_BYTES).await.ok()?.to_vec();
+        let answer = read_reply_body(response, MAX_ANSWER_BYTES, &ReplyMemory::unlimited())
+            .await
+            .ok()?
+            .to_vec();
         host.rule.pass(peer.address).await.then_some(answer)
     }
 }
--- a/crates/entry/src/target_client.rs
+++ b/crates/entry/src/target_client.rs
@@ -20,7 +20,9 @@
 use vanillapick_model::call::TargetRefusal;
 use vanillapick_model::call::header;
 use vanillapick_model::route::RouteKind;
+use vanillapick_platform::reply_body::ReplyBodyError;
 use vanillapick_platform::reply_body::read_reply_body;
+use vanillapick_platform::reply_memory::ReplyMemory;
 use vanillapick_policy::attempt::AttemptResult;
 use vanillapick_policy::attempt::AttemptSpec;
 
@@ -65,13 +67,14 @@
 pub struct TargetClient {
     domain: String,
     rule: LinkRule,
+    memory: Arc<ReplyMemory>,
     links: Mutex<HashMap<SocketAddr, Arc<TargetLink>>>,
 }
 
 impl TargetClient {
-    /// Creates a client for a host in the failure domain `domain`.
-    pub fn new(domain: String, rule: LinkRule) -> Self {
-        Self { domain, rule, links: Mutex::new(HashMap::new()) }
+    /// Creates a client for a host in the failure domain `domain`. Replies are kept in `memory`.
+    pub fn new(domain: String, rule: LinkRule, memory: Arc<ReplyMemory>) -> Self {
+        Self { domain, rule, memory, links: Mutex::new(HashMap::new()) }
     }
 
     /// Makes one call; `time_left` is the time to its deadline. The sessions bound the number of concurrent calls to a
@@ -124,7 +127,7 @@
         let Some(client) = link.acquire(ClientPurpose::Control) else { return };
         let request = client.post(url).header(DOMAIN_HEADER, &self.domain).timeout(time_left);
         if let Ok(response) = request.send().await {
-            let _ = read_reply_body(response, MAX_STATUS_BYTES).await;
+            let _ = read_reply_body(response, MAX_STATUS_BYTES, &self.memory).await;
         }
         link.release(client, ClientPurpose::Control);
     }
@@ -142,7 +145,7 @@
             .timeout(limit);
         let marks = match request.send().await {
             Ok(response) => {
-                let body = read_reply_body(response, MAX_STATUS_BYTES).await.ok();
+                let body = read_reply_body(response, MAX_STATUS_BYTES, &self.memory).await.ok();
                 body.and_then(|body| serde_json::from_slice(&body).ok())
             }
             Err(_) => None,
@@ -192,7 +195,7 @@
             .header(DOMAIN_HEADER, &self.domain)
             .body(context.body.clone());
         match request.send().await {
-            Ok(response) => read_response(context, attempt, response).await,
+            Ok(response) => read_response(context, attempt, response, &self.memory).await,
             Err(error) if error.is_connect() => AttemptResult::NotSent,
             Err(_) => AttemptResult::Lost,
         }
@@ -203,13 +206,17 @@
     context: &CallContext,
     attempt: &AttemptSpec,
     response: Response,
+    memory: &Arc<ReplyMemory>,
 ) -> AttemptResult {
     let status = response.status();
     let headers = response.headers().clone();
-    let body = match read_reply_body(response, MAX_REPLY_BYTES).await {
+    let body = match read_reply_body(response, MAX_REPLY_BYTES, memory).await {
         Ok(body) => body,
-        // The body was shorter or longer than announced or than the limit, or its encoding is invalid.
-        Err(_) => return AttemptResult::Malformed,
+        // The body was shorter or longer than announced or than the limits, or its encoding is invalid.
+        Err(error) => {
+            count_rejected_reply(&error);
+            return AttemptResult::Malformed;
+        }
     };
     let marks = read_marks(attempt, &headers);
     if status == StatusCode::SERVICE_UNAVAILABLE
@@ -237,6 +244,15 @@
     }
 }
 
+fn count_rejected_reply(error: &ReplyBodyError) {
+    let reason = match error {
+        ReplyBodyError::Http(_) => return,
+        ReplyBodyError::TooLarge { .. } => "too_large",
+        ReplyBodyError::NoMemory => "no_memory",
+    };
+    metrics::counter!("vp_rejected_replies_total", "reason" => reason).increment(1);
+}
+
 /// Whether a refusal names this call. One that names no call or a different one, such as a late copy of an earlier refusal, is no
 /// evidence that this call has not run.
 fn is_refusal_of_call(context: &CallContext, attempt: &AttemptSpec, headers: &HeaderMap) -> bool {
--- a/crates/entry/tests/common/mod.rs
+++ b/crates/entry/tests/common/mod.rs
@@ -47,13 +47,15 @@
     }
 }
 
-/// HTTP response of a stand-in. Headers may be repeated, and the connection may be cut within the body.
+/// HTTP response of a stand-in. Headers may be repeated, and the connection may be cut within the body or the body repeated without
+/// end.
 #[derive(Clone, Default)]
 pub struct Reply {
     pub status: u16,
     pub headers: Vec<(&'static str, String)>,
     pub body: Bytes,
     pub is_cut: bool,
+    pub is_endless: bool,
 }
 
 impl Reply {
@@ -85,6 +87,7 @@
 struct ReplyBody {
     rest: Option<Bytes>,
     is_cut: bool,
+    is_endless: bool,
     is_flushed: bool,
 }
 
@@ -96,6 +99,9 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        if self.is_endless {
+            return Poll::Ready(self.rest.clone().map(|rest| Ok(Frame::data(rest))));
+        }
         if let Some(rest) = self.rest.take() {
             return Poll::Ready(Some(Ok(Frame::data(rest))));
         }
@@ -151,7 +157,12 @@
         body: body.collect().await.map(|body| body.to_bytes()).unwrap_or_default(),
     };
     let reply = handle(call).await;
-    let body = ReplyBody { rest: Some(reply.body), is_cut: reply.is_cut, is_flushed: false };
+    let body = ReplyBody {
+        rest: Some(reply.body),
+        is_cut: reply.is_cut,
+        is_endless: reply.is_endless,
+        is_flushed: false,
+    };
     let response = Response::builder().status(reply.status);
     let response = reply
         .headers
--- a/crates/entry/tests/common/session.rs
+++ b/crates/entry/tests/common/session.rs
@@ -144,7 +144,7 @@
 }
 
 impl TestCaller {
-    fn new(address: SocketAddr) -> Self {
+    pub fn new(address: SocketAddr) -> Self {
         let client = Client::builder().no_proxy().retry(reqwest::retry::never()).build();
         Self { client: client.expect("no TLS"), address }
     }
@@ -158,6 +158,12 @@
         self.get(path).await.status
     }
 
+    /// Status of a page; `None` if the host does not reply.
+    pub async fn try_status(&self, path: &str) -> Option<u16> {
+        let url = format!("http://{}{path}", self.address);
+        self.client.get(url).send().await.ok().map(|response| response.status().as_u16())
+    }
+
     /// Revision of the configuration in force.
     pub async fn revision(&self) -> u64 {
         let status: Value = serde_json::from_str(&self.get("/status").await.body).expect("JSON");
--- a/crates/platform/src/error.rs
+++ b/crates/platform/src/error.rs
@@ -58,7 +58,7 @@
     fn from(error: ReplyBodyError) -> Self {
         match error {
             ReplyBodyError::Http(error) => error.into(),
-            ReplyBodyError::TooLarge { .. } => {
+            ReplyBodyError::TooLarge { .. } | ReplyBodyError::NoMemory => {
                 Self::Malformed { detail: error.to_string(), uncertain: true }
             }
         }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod error;
 pub mod reply_body;
+pub mod reply_memory;
 pub mod transport;
 pub mod client;
 pub mod config_edit;
--- a/crates/platform/src/reply_body.rs
+++ b/crates/platform/src/reply_body.rs
@@ -1,5 +1,7 @@
 //! Reads the bodies of replies up to a size limit.
 
+use std::sync::Arc;
+
 use bytes::Bytes;
 use bytes::BytesMut;
 use derive_more::Display;
@@ -7,6 +9,8 @@
 use derive_more::From;
 use reqwest::Response;
 
+use crate::reply_memory::ReplyMemory;
+
 /// Why the body of a reply could not be read.
 #[derive(Debug, Display, Error, From)]
 pub enum ReplyBodyError {
@@ -20,19 +24,28 @@
         /// Size limit in bytes.
         limit: usize,
     },
+    /// The memory for the bodies of all replies is in use.
+    #[display("no memory is left for the body of the reply")]
+    NoMemory,
 }
 
-/// Reads a body of at most `limit` bytes to its end; a longer one is an error, and its connection is closed.
+/// Reads a body of at most `limit` bytes to its end, as far as `memory` is left for it; otherwise its connection is closed. The
+/// memory is in use until the last copy of the body is dropped.
 pub async fn read_reply_body(
     mut response: Response,
     limit: usize,
+    memory: &Arc<ReplyMemory>,
 ) -> Result<Bytes, ReplyBodyError> {
+    let mut reservation = memory.reserve();
     let mut body = BytesMut::new();
     while let Some(data) = response.chunk().await? {
         if limit < body.len() + data.len() {
             return Err(ReplyBodyError::TooLarge { limit });
         }
+        if !reservation.grow(data.len()) {
+            return Err(ReplyBodyError::NoMemory);
+        }
         body.extend_from_slice(&data);
     }
-    Ok(body.freeze())
+    Ok(reservation.attach(body.freeze()))
 }
--- a/crates/relay/src/reply_memory.rs
+++ b/crates/platform/src/reply_memory.rs
@@ -1,4 +1,4 @@
-//! Bounds the memory that the bodies of targets' replies take up on this host.
+//! Bounds the memory that the bodies of replies take up on a host.
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
@@ -41,9 +41,17 @@
 }
 
 impl ReplyMemory {
-    /// Takes a fixed part of the machine's memory, given in bytes, as the limit.
+    /// Memory for the replies of targets: a fixed part of the machine's memory, which is given in bytes.
     pub fn new(machine_bytes: u64) -> Arc<Self> {
-        let limit = (machine_bytes as f64 * MEMORY_FRACTION) as usize;
+        Self::with_limit((machine_bytes as f64 * MEMORY_FRACTION) as usize)
+    }
+
+    /// Memory without a limit, for programs that make one call at a time.
+    pub fn unlimited() -> Arc<Self> {
+        Self::with_limit(usize::MAX)
+    }
+
+    fn with_limit(limit: usize) -> Arc<Self> {
         Arc::new(Self { limit, used: AtomicUsize::new(0) })
     }
 
@@ -65,7 +73,7 @@
         let total = self.bytes + bytes;
         let more = total.saturating_sub(UNCOUNTED_BYTES) - self.counted;
         let memory = &self.memory;
-        if more > 0 && memory.limit < memory.used.fetch_add(more, Relaxed) + more {
+        if more > 0 && memory.limit < memory.used.fetch_add(more, Relaxed).saturating_add(more) {
             memory.used.fetch_sub(more, Relaxed);
             return false;
         }
--- a/crates/platform/src/transport.rs
+++ b/crates/platform/src/transport.rs
@@ -16,6 +16,7 @@
 
 use crate::error::PlatformError;
 use crate::reply_body::read_reply_body;
+use crate::reply_memory::ReplyMemory;
 
 /// The connect timeout is the call timeout divided by this, so that an unresponsive host yields
 /// [`PlatformError::NotSent`] and not an uncertain outcome.
@@ -37,6 +38,7 @@
     http: Client,
     address: SocketAddr,
     calls: Arc<AtomicU64>,
+    memory: Arc<ReplyMemory>,
 }
 
 /// HTTP response with its body read to the end.
@@ -65,12 +67,13 @@
             .tcp_user_timeout(TCP_KEEPALIVE_INTERVAL * TCP_KEEPALIVE_RETRIES)
             .build()
             .expect("building a client without TLS and proxies cannot fail");
-        Self { http, address, calls: Arc::default() }
+        Self { http, address, calls: Arc::default(), memory: ReplyMemory::unlimited() }
     }
 
     /// Transport to another address with the same HTTP client and a call counter of its own.
     pub fn with_address(&self, address: SocketAddr) -> Self {
-        Self { http: self.http.clone(), address, calls: Arc::default() }
+        let memory = Arc::clone(&self.memory);
+        Self { http: self.http.clone(), address, calls: Arc::default(), memory }
     }
 
     /// Socket address that all calls go to.
@@ -98,7 +101,7 @@
         let response = request.timeout(timeout).send().await?;
         let status = response.status();
         let headers = response.headers().clone();
-        let body = read_reply_body(response, MAX_REPLY_BYTES).await?;
+        let body = read_reply_body(response, MAX_REPLY_BYTES, &self.memory).await?;
         tracing::debug!(status = status.as_u16(), bytes = body.len(), "platform replied");
         Ok(PlatformReply { status, headers, body })
     }
--- a/crates/relay/tests/reply_memory.rs
+++ b/crates/platform/tests/reply_memory.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use vanillapick_relay::reply_memory::ReplyMemory;
+use vanillapick_platform::reply_memory::ReplyMemory;
 
 /// Guards against large replies that keep small ones from being read, and against memory that stays counted.
 #[test]
--- a/crates/relay/src/kept_connection.rs
+++ b/crates/relay/src/kept_connection.rs
@@ -23,7 +23,7 @@
 
 use crate::metered_stream::MeteredStream;
 use crate::metered_stream::ReadAllowance;
-use crate::reply_memory::ReplyMemory;
+use vanillapick_platform::reply_memory::ReplyMemory;
 
 /// Complete request body, held in memory.
 pub type CallBody = Full<Bytes>;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -15,7 +15,6 @@
 pub mod relay_host;
 pub mod relay_server;
 pub mod request_flow;
-pub mod reply_memory;
 pub mod reply_status;
 pub mod store_client;
 pub mod store_follower;
--- a/crates/relay/src/relay_host.rs
+++ b/crates/relay/src/relay_host.rs
@@ -28,9 +28,9 @@
 use crate::move_tracker::MoveTracker;
 use crate::part_peers::PartPeerTable;
 use crate::relay_server::host_location;
-use crate::reply_memory::ReplyMemory;
 use crate::wire::PlatformWire;
 use crate::wire::StoreEra;
+use vanillapick_platform::reply_memory::ReplyMemory;
 
 /// Upper limit of the wake-up lateness that responses compensate for. A host that is later than this is overloaded, and
 /// responding earlier does not help.
--- a/crates/settings/src/entry_schema.rs
+++ b/crates/settings/src/entry_schema.rs
@@ -37,7 +37,7 @@
     required("one_way_ms", ValueSchema::Integer { min: 0, max: MAX_LINK_DELAY_MS }),
 ]);
 
-static FIELDS: [FieldSchema; 14] = [
+static FIELDS: [FieldSchema; 15] = [
     required("host", ValueSchema::Name),
     required("domain", ValueSchema::Name),
     required("listen", ValueSchema::Address { allows_port_zero: true }),
@@ -50,6 +50,7 @@
     optional("balancer_lag_ms", ValueSchema::Integer { min: 0, max: MAX_BALANCER_LAG_MS }),
     optional("platform_timeout_ms", ValueSchema::Integer { min: 1, max: MAX_PLATFORM_TIMEOUT_MS }),
     optional("workers", ValueSchema::Integer { min: 1, max: MAX_WORKERS }),
+    optional("memory_mb", ValueSchema::Integer { min: 16, max: 1 << 20 }),
     optional("log_format", ValueSchema::Choice(&["text", "json"])),
     optional("baseline", ValueSchema::Boolean),
 ];
--- a/crates/settings/src/entry_settings.rs
+++ b/crates/settings/src/entry_settings.rs
@@ -58,6 +58,9 @@
     /// Number of threads that serve requests; at least 1.
     #[serde(default = "default_workers")]
     pub workers: u32,
+    /// Memory of the machine in MiB. A fixed part of it is for the replies of targets.
+    #[serde(default = "default_memory_mb")]
+    pub memory_mb: u64,
     #[serde(default)]
     pub log_format: LogFormat,
     /// Enables the baseline used for comparison in measurements: random replica, no hedges, fixed retry, no limits.
@@ -86,6 +89,10 @@
     Duration::from_millis(300)
 }
 
+fn default_memory_mb() -> u64 {
+    256
+}
+
 fn default_workers() -> u32 {
     2
 }
