The bodies of replies hold no more memory than is counted; those of the store and of other hosts have a bound

Cause: a buffer that doubles, and another copy at the end, held up to three times the counted bytes; replies of the store and of peers were bounded one by one, at 32 MiB. Change: bodies are collected in blocks (body_buffer); replies of the store and of peers share an eighth of the machine's memory.

--- a/crates/entry/src/target_client.rs
+++ b/crates/entry/src/target_client.rs
@@ -20,7 +20,6 @@
 use vanillapick_model::call::TargetRefusal;
 use vanillapick_model::call::header;
 use vanillapick_model::route::RouteKind;
-use vanillapick_platform::reply_body::ReplyBodyError;
 use vanillapick_platform::reply_body::read_reply_body;
 use vanillapick_platform::reply_memory::ReplyMemory;
 use vanillapick_policy::attempt::AttemptResult;
@@ -214,7 +213,7 @@
         Ok(body) => body,
         // The body was shorter or longer than announced or than the limits, or its encoding is invalid.
         Err(error) => {
-            count_rejected_reply(&error);
+            tracing::debug!(%error, "the body of a reply was rejected");
             return AttemptResult::Malformed;
         }
     };
@@ -244,15 +243,6 @@
     }
 }
 
-fn count_rejected_reply(error: &ReplyBodyError) {
-    let reason = match error {
-        ReplyBodyError::Http(_) => return,
-        ReplyBodyError::TooLarge { .. } => "too_large",
-        ReplyBodyError::NoMemory => "no_memory",
-    };
-    metrics::counter!("vp_rejected_replies_total", "reason" => reason).increment(1);
-}
-
 /// Whether a refusal names this call. One that names no call or a different one, such as a late copy of an earlier refusal, is no
 /// evidence that this call has not run.
 fn is_refusal_of_call(context: &CallContext, attempt: &AttemptSpec, headers: &HeaderMap) -> bool {
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,5 +1,6 @@
 //! Client of the platform's key-value store and host list, with configuration edits and idempotency claims built on it.
 
+pub mod body_buffer;
 pub mod error;
 pub mod reply_body;
 pub mod reply_memory;
--- a/crates/platform/src/reply_body.rs
+++ b/crates/platform/src/reply_body.rs
@@ -3,12 +3,12 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use bytes::BytesMut;
 use derive_more::Display;
 use derive_more::Error;
 use derive_more::From;
 use reqwest::Response;
 
+use crate::body_buffer::BodyBuffer;
 use crate::reply_memory::ReplyMemory;
 
 /// Why the body of a reply could not be read.
@@ -36,16 +36,16 @@
     limit: usize,
     memory: &Arc<ReplyMemory>,
 ) -> Result<Bytes, ReplyBodyError> {
-    let mut reservation = memory.reserve();
-    let mut body = BytesMut::new();
+    let mut body = BodyBuffer::new(memory);
+    let mut length = 0;
     while let Some(data) = response.chunk().await? {
-        if limit < body.len() + data.len() {
+        length += data.len();
+        if limit < length {
             return Err(ReplyBodyError::TooLarge { limit });
         }
-        if !reservation.grow(data.len()) {
+        if !body.push(data) {
             return Err(ReplyBodyError::NoMemory);
         }
-        body.extend_from_slice(&data);
     }
-    Ok(reservation.attach(body.freeze()))
+    Ok(body.finish())
 }
--- a/crates/platform/src/reply_memory.rs
+++ b/crates/platform/src/reply_memory.rs
@@ -10,9 +10,13 @@
 /// large ones use up the memory. Connection limits bound the number of replies.
 const UNCOUNTED_BYTES: usize = 16 << 10;
 
-/// Part of a machine's memory for the bodies of replies.
+/// Part of a machine's memory for the bodies of targets' replies.
 const MEMORY_FRACTION: f64 = 0.25;
 
+/// Part of a machine's memory for replies of the store and of other hosts. It is apart from that of targets, so that these cannot
+/// keep a host from reading changes.
+const CONTROL_MEMORY_FRACTION: f64 = 0.125;
+
 /// Memory for the bodies of all replies.
 #[derive(Debug)]
 pub struct ReplyMemory {
@@ -46,6 +50,11 @@
         Self::with_limit((machine_bytes as f64 * MEMORY_FRACTION) as usize)
     }
 
+    /// Memory for the replies of the store and of other hosts.
+    pub fn for_control(machine_bytes: u64) -> Arc<Self> {
+        Self::with_limit((machine_bytes as f64 * CONTROL_MEMORY_FRACTION) as usize)
+    }
+
     /// Memory without a limit, for programs that make one call at a time.
     pub fn unlimited() -> Arc<Self> {
         Self::with_limit(usize::MAX)
--- a/crates/platform/src/transport.rs
+++ b/crates/platform/src/transport.rs
@@ -70,6 +70,11 @@
         Self { http, address, calls: Arc::default(), memory: ReplyMemory::unlimited() }
     }
 
+    /// Has replies kept in `memory`, which all clones share.
+    pub fn with_memory(self, memory: Arc<ReplyMemory>) -> Self {
+        Self { memory, ..self }
+    }
+
     /// Transport to another address with the same HTTP client and a call counter of its own.
     pub fn with_address(&self, address: SocketAddr) -> Self {
         let memory = Arc::clone(&self.memory);
--- a/crates/relay/src/kept_connection.rs
+++ b/crates/relay/src/kept_connection.rs
@@ -9,7 +9,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use bytes::BytesMut;
 use http_body_util::Full;
 use hyper::Request;
 use hyper::Response;
@@ -20,10 +19,11 @@
 use hyper::http::response::Parts;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
+use vanillapick_platform::body_buffer::BodyBuffer;
+use vanillapick_platform::reply_memory::ReplyMemory;
 
 use crate::metered_stream::MeteredStream;
 use crate::metered_stream::ReadAllowance;
-use vanillapick_platform::reply_memory::ReplyMemory;
 
 /// Complete request body, held in memory.
 pub type CallBody = Full<Bytes>;
@@ -190,9 +190,7 @@
         mut body: Incoming,
         limits: &ReplyLimits,
     ) -> Result<Bytes, String> {
-        let mut reservation = limits.memory.reserve();
-        let mut first = Bytes::new();
-        let mut rest = BytesMut::new();
+        let mut read = BodyBuffer::new(&limits.memory);
         let mut counted = 0;
         while let Some(data) = self.next_data(&mut body).await? {
             counted += data.len().max(MIN_PIECE_BYTES);
@@ -202,23 +200,12 @@
                 count_rejected_reply("too_large");
                 return Err(format!("the reply body exceeds {} bytes", limits.max_bytes));
             }
-            if !reservation.grow(data.len()) {
+            if !read.push(data) {
                 count_rejected_reply("no_memory");
                 return Err("no memory is left for the reply body".to_owned());
             }
-            if first.is_empty() {
-                first = data;
-            } else {
-                rest.extend_from_slice(&data);
-            }
-        }
-        if rest.is_empty() {
-            return Ok(reservation.attach(first));
         }
-        let mut joined = BytesMut::with_capacity(first.len() + rest.len());
-        joined.extend_from_slice(&first);
-        joined.extend_from_slice(&rest);
-        Ok(reservation.attach(joined.freeze()))
+        Ok(read.finish())
     }
 
     fn drive(&mut self, context: &mut Context<'_>) {
--- a/crates/relay/src/relay_host.rs
+++ b/crates/relay/src/relay_host.rs
@@ -18,6 +18,7 @@
 use vanillapick_dispatch::silent_attempts::InstanceState;
 use vanillapick_dispatch::target_reach::TargetReach;
 use vanillapick_dispatch::target_record::TargetRecord;
+use vanillapick_platform::reply_memory::ReplyMemory;
 use vanillapick_policy::micros::micros;
 use vanillapick_settings::RelaySettings;
 
@@ -30,7 +31,6 @@
 use crate::relay_server::host_location;
 use crate::wire::PlatformWire;
 use crate::wire::StoreEra;
-use vanillapick_platform::reply_memory::ReplyMemory;
 
 /// Upper limit of the wake-up lateness that responses compensate for. A host that is later than this is overloaded, and
 /// responding earlier does not help.
--- a/crates/relay/src/relay_server.rs
+++ b/crates/relay/src/relay_server.rs
@@ -11,6 +11,7 @@
 use vanillapick_dispatch::registry::HostLocation;
 use vanillapick_dispatch::registry::StoreRegistry;
 use vanillapick_dispatch::retry_budget::RetryBudgetLimits;
+use vanillapick_platform::reply_memory::ReplyMemory;
 use vanillapick_platform::transport::StoreTransport;
 use vanillapick_settings::RelaySettings;
 
@@ -52,7 +53,8 @@
     pub fn start(settings: RelaySettings, wire: PlatformWire) -> std::io::Result<Self> {
         let registry = StoreRegistry::new(host_location(&settings), retry_budget_limits(&settings));
         let lease = Arc::clone(registry.host_lease());
-        let transport = StoreTransport::new(settings.store, STORE_TIMEOUT);
+        let memory = ReplyMemory::for_control(settings.machine.memory_mb << 20);
+        let transport = StoreTransport::new(settings.store, STORE_TIMEOUT).with_memory(memory);
         let store = StoreClient::new(transport, STORE_TIMEOUT, &wire.store);
         let host = RelayHost::new(settings, wire);
         host.crash_state.set_store(store.clone());
