A repeated order that ends before it was recorded as running has its final record written

Callers saw: nothing; read while going through the diff. A repeated order whose move is rolled back before `running` was written, as with a store that is away just then, has the same final record as the earlier order, which therefore was not written. The move would never end, and a third order would not begin. Change: what to write is decided beside the identity of the order (PoolMove::due_record); an equal record from before the order doesn't count. Test: a_final_record_is_written_although_the_earlier_order_ended_the_same_way, of the decision that moved there.

--- a/crates/dispatch/src/version_split.rs
+++ b/crates/dispatch/src/version_split.rs
@@ -116,6 +116,15 @@
         !self.has_ended && record.is_some_and(MoveRecord::is_final)
     }
 
+    /// The record to write about the current order in this state; `None` if the store has it.
+    pub fn due_record(&self, state: MoveRecordState) -> Option<MoveRecord> {
+        let order = self.active_order()?;
+        let record = MoveRecord { version: Arc::clone(&order.version), state };
+        // An equal record from before the order is about an earlier one.
+        let is_earlier = record.is_final() && self.record_revision < self.order_revision();
+        (is_earlier || self.record.as_ref() != Some(&record)).then_some(record)
+    }
+
     /// Has the move wait or not; returns whether that changes.
     pub(crate) fn set_held(&mut self, is_held: bool) -> bool {
         std::mem::replace(&mut self.is_held, is_held) != is_held
@@ -218,12 +227,12 @@
             others.retain(|target| !has_version(target, version));
         }
         match &self.record {
-            Some(MoveRecord { version, state: MoveRecordState::Completed, .. })
+            Some(MoveRecord { version, state: MoveRecordState::Completed })
                 if others.iter().any(|target| has_version(target, version)) =>
             {
                 others.retain(|target| has_version(target, version));
             }
-            Some(MoveRecord { version, state: MoveRecordState::RolledBack, .. }) => {
+            Some(MoveRecord { version, state: MoveRecordState::RolledBack }) => {
                 others.retain(|target| !has_version(target, version));
                 retain_majority_version(&mut others);
             }
--- a/crates/dispatch/tests/move_orders.rs
+++ b/crates/dispatch/tests/move_orders.rs
@@ -204,3 +204,19 @@
     }
     assert_eq!(shares, [0.0, 0.0, 0.0]);
 }
+
+/// Guards against a repeated order that never ends: if it is rolled back before it was recorded as running, its final record equals
+/// that of the earlier order.
+#[test]
+fn a_final_record_is_written_although_the_earlier_order_ended_the_same_way() {
+    let mut registry = registry();
+    let changes = vec![order("v2", 10), record("v2", RolledBack, 15), order("v2", 20)];
+    watch(&mut registry, changes);
+    let due = |registry: &StoreRegistry, state| {
+        registry.moves()["p"].due_record(state).map(|record| record.state)
+    };
+    let before = [Running, RolledBack].map(|state| due(&registry, state));
+    let lines = watch(&mut registry, vec![record("v2", RolledBack, 21)]);
+    let after = [Running, RolledBack].map(|state| due(&registry, state));
+    assert_eq!((before, after), ([Some(Running), Some(RolledBack)], [None, None]), "{lines}");
+}
--- a/crates/relay/src/move_tracker.rs
+++ b/crates/relay/src/move_tracker.rs
@@ -324,9 +324,7 @@
             tracked.is_written = true;
             writes.push(MoveWrite::Evidence(Arc::clone(pool), encoded));
         }
-        let Some(order) = tracked.pool_move.active_order() else { continue };
-        let record = MoveRecord { version: Arc::clone(&order.version), state };
-        if tracked.pool_move.record.as_ref() != Some(&record) {
+        if let Some(record) = tracked.pool_move.due_record(state) {
             let revisions = revisions(&tracked.pool_move);
             writes.push(MoveWrite::Record(Arc::clone(pool), record, revisions));
         }
