The hash of a request's id is computed once for each attempt

It was computed again for each idle connection that was looked at and once more when the request was sent, by a hasher of its own beside the xxh3 that the crate uses. Behaviour stays the same.

--- a/crates/relay/src/target_attempt.rs
+++ b/crates/relay/src/target_attempt.rs
@@ -137,7 +137,7 @@
         in_flight.sent.get_or_init(wall_now);
         Some(call)
     };
-    let identity = RequestIdentity { id: &request.request_id, deadline: request.deadline };
+    let identity = RequestIdentity::new(&request.request_id, request.deadline);
     let classify = |parts: &Parts| {
         if !is_final_status(parts.status) {
             return TargetReplyKind::Invalid("reply has no final status");
--- a/crates/relay/src/target_connections.rs
+++ b/crates/relay/src/target_connections.rs
@@ -121,7 +121,7 @@
     /// is closed if the reply is not the one to this request, which may still arrive on it.
     pub async fn call(
         &self,
-        request: RequestIdentity<'_>,
+        request: RequestIdentity,
         write: impl Fn() -> Option<Request<CallBody>>,
         classify: impl Fn(&Parts) -> TargetReplyKind,
         limits: &ReplyLimits,
@@ -184,12 +184,8 @@
 
     /// Takes an idle connection that has not carried the request. If all have, one of them is closed, so that a new connection
     /// takes its place.
-    async fn take_idle(
-        &self,
-        request: RequestIdentity<'_>,
-        now: Duration,
-    ) -> Option<TargetConnection> {
-        while let Some(mut connection) = self.pop_idle(|idle| !idle.sent.contains(request.id)) {
+    async fn take_idle(&self, request: RequestIdentity, now: Duration) -> Option<TargetConnection> {
+        while let Some(mut connection) = self.pop_idle(|idle| !idle.sent.contains(request)) {
             let idle_timeout = connection.kept.idle_timeout.unwrap_or(DEFAULT_IDLE_TIMEOUT);
             let is_fresh = now.saturating_sub(connection.kept.idle_since) < idle_timeout;
             if is_fresh && connection.kept.is_usable().await {
