The tracker of moves keeps one copy of what the store has

Lost records and the first identity of each order were copies of their own beside the moves that they follow from; both are derived now when they are needed. The id of a move is split in one place, without copies, and evidence is decoded by one match. Behaviour stays the same.

--- a/crates/relay/src/move_tracker.rs
+++ b/crates/relay/src/move_tracker.rs
@@ -59,37 +59,47 @@
 #[derive(Default)]
 pub struct MoveTracker {
     moves: Mutex<BTreeMap<PoolId, TrackedMove>>,
-    /// Records that a restored store lacks, with the revisions of what it has in their place.
-    lost_records: Mutex<Vec<(PoolId, MoveRecord, MoveRevisions)>>,
-    stored_evidence: Mutex<StoredItems>,
+    stored: Mutex<StoredMoves>,
 }
 
-/// Items of evidence in the store, with the order that each is about; `None` if an earlier build of the program has written it.
+/// What the store has about moves.
 #[derive(Default)]
-struct StoredItems {
-    orders: BTreeMap<(PoolId, EvidenceKey), Option<OrderId>>,
-    /// First identity of the latest order of each pool, and whether its move runs.
-    latest: BTreeMap<PoolId, (OrderId, bool)>,
-    /// Whether this host removes what is outdated.
+struct StoredMoves {
+    /// Orders and records.
+    moves: PoolMoves,
+    /// Items of evidence, with the order that each is about; `None` if an earlier build of the program has written it.
+    evidence: BTreeMap<(PoolId, EvidenceKey), Option<OrderId>>,
+    /// Whether this host removes outdated evidence.
     is_remover: bool,
 }
 
-impl StoredItems {
-    /// Outdated items of one pool: evidence about an earlier order, or about any if no move runs. What earlier builds have
-    /// written names no order, so it stays while a move runs.
-    fn find_outdated(&self) -> Option<(PoolId, Vec<EvidenceKey>)> {
+impl StoredMoves {
+    /// Writes of records that the store lacks.
+    fn lost_records(&self) -> impl Iterator<Item = MoveWrite> {
+        self.moves.iter().filter_map(|(pool, pool_move)| {
+            let record = pool_move.lost_record()?.clone();
+            Some(MoveWrite::Record(Arc::clone(pool), record, revisions(pool_move)))
+        })
+    }
+
+    /// Removal of outdated items of one pool, if this host removes them.
+    fn outdated_evidence(&self) -> Option<MoveWrite> {
         if !self.is_remover {
             return None;
         }
-        let is_outdated = |pool: &PoolId, order: Option<OrderId>| {
-            let (latest, is_running) = self.latest.get(pool).copied().unwrap_or_default();
-            order.map_or(!is_running, |order| order < latest || !is_running)
-        };
-        let outdated = self.orders.iter().filter(|((pool, _), order)| is_outdated(pool, **order));
+        let outdated = self.evidence.iter().filter(|((pool, _), id)| self.is_outdated(pool, **id));
         let outdated: Vec<&(PoolId, EvidenceKey)> = outdated.map(|(item, _)| item).collect();
         let pool = &outdated.first()?.0;
         let sources = outdated.iter().filter(|(of, _)| of == pool).map(|(_, source)| source);
-        Some((Arc::clone(pool), sources.take(MAX_REMOVED_ITEMS).cloned().collect()))
+        let sources = sources.take(MAX_REMOVED_ITEMS).cloned().collect();
+        Some(MoveWrite::Removal(Arc::clone(pool), sources))
+    }
+
+    /// Whether evidence is about an earlier order, or about any if no move runs. What earlier builds have written names no order,
+    /// so it stays while a move runs.
+    fn is_outdated(&self, pool: &PoolId, id: Option<OrderId>) -> bool {
+        let running = self.moves.get(pool).filter(|running| running.active_order().is_some());
+        running.is_none_or(|running| id.is_some_and(|id| id < running.first_id))
     }
 }
 
@@ -115,19 +125,11 @@
     /// Starts and ends tracking according to the move orders and records in the store. `wall` is the start time of new
     /// moves. One host, the `is_remover`, removes the evidence about earlier orders.
     pub(crate) fn set_moves(&self, moves: &PoolMoves, is_remover: bool, wall: SystemTime) {
-        let latest = moves.iter().map(|(pool, pool_move)| {
-            (Arc::clone(pool), (pool_move.first_id, pool_move.active_order().is_some()))
-        });
         {
-            let mut stored = self.stored_evidence();
-            stored.latest = latest.collect();
+            let mut stored = self.stored();
+            stored.moves = moves.clone();
             stored.is_remover = is_remover;
         }
-        let lost = moves.iter().filter_map(|(pool, pool_move)| {
-            let record = pool_move.lost_record()?.clone();
-            Some((Arc::clone(pool), record, revisions(pool_move)))
-        });
-        *self.lost_records() = lost.collect();
         let mut moves_by_pool = self.moves();
         moves_by_pool.retain(|pool, tracked| {
             let running = moves.get(pool).filter(|pool_move| pool_move.active_order().is_some());
@@ -187,13 +189,13 @@
     ) {
         let item = (Arc::clone(pool), source);
         let Some(encoded) = encoded else {
-            self.stored_evidence().orders.remove(&item);
+            self.stored().evidence.remove(&item);
             return;
         };
-        let stored: Result<StoredEvidence, _> = peer_message::decode(encoded);
-        let order = stored.as_ref().ok().and_then(|stored| read_order_id(&stored.move_id));
-        self.stored_evidence().orders.insert(item, order);
-        let stored: StoredEvidence = match stored {
+        let decoded: Result<StoredEvidence, _> = peer_message::decode(encoded);
+        let id = decoded.as_ref().ok().and_then(|evidence| split_move_id(&evidence.move_id));
+        self.stored().evidence.insert(item, id.map(|(_, id)| id));
+        let stored = match decoded {
             Ok(stored) => stored,
             Err(error) => {
                 tracing::warn!(pool = &**pool, %error, "evidence about a move cannot be decoded");
@@ -217,15 +219,11 @@
 
     /// Forgets which evidence the store has, because all of it is read again.
     pub(crate) fn forget_stored(&self) {
-        self.stored_evidence().orders.clear();
+        self.stored().evidence.clear();
     }
 
-    fn stored_evidence(&self) -> MutexGuard<'_, StoredItems> {
-        self.stored_evidence.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    fn lost_records(&self) -> MutexGuard<'_, Vec<(PoolId, MoveRecord, MoveRevisions)>> {
-        self.lost_records.lock().unwrap_or_else(PoisonError::into_inner)
+    fn stored(&self) -> MutexGuard<'_, StoredMoves> {
+        self.stored.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     fn moves(&self) -> MutexGuard<'_, BTreeMap<PoolId, TrackedMove>> {
@@ -290,13 +288,9 @@
     let Some(view) = host.view() else { return writes };
     let wall = SystemTime::now();
     if writes_due {
-        let lost = host.moves.lost_records().clone();
-        writes.extend(
-            lost.into_iter()
-                .map(|(pool, record, revisions)| MoveWrite::Record(pool, record, revisions)),
-        );
-        let outdated = host.moves.stored_evidence().find_outdated();
-        writes.extend(outdated.map(|(pool, sources)| MoveWrite::Removal(pool, sources)));
+        let stored = host.moves.stored();
+        writes.extend(stored.lost_records());
+        writes.extend(stored.outdated_evidence());
     }
     for (pool, tracked) in host.moves.moves().iter_mut() {
         let status = move_status(&tracked.row, wall, &tracked.evidence);
@@ -335,10 +329,11 @@
 impl TrackedMove {
     /// Whether the id of a move is one that this move has or had.
     fn is_about(&self, move_id: &str) -> bool {
-        let name = |id: &str| id.rsplit_once('@').map(|(name, _)| name.to_owned());
         let PoolMove { first_id, order_id, .. } = self.pool_move;
-        name(move_id) == name(&self.row.id)
-            && read_order_id(move_id).is_some_and(|id| first_id <= id && id <= order_id)
+        match (split_move_id(move_id), split_move_id(&self.row.id)) {
+            (Some((name, id)), Some((own, _))) => name == own && first_id <= id && id <= order_id,
+            _ => false,
+        }
     }
 
     fn encode(&self, source: &str) -> Option<Vec<u8>> {
@@ -370,9 +365,9 @@
         MoveWrite::Removal(pool, sources) => {
             let call = (wire.remove_evidence)(&pool, &sources);
             store.send(call, Duration::ZERO).await?;
-            let mut stored = host.moves.stored_evidence();
+            let mut stored = host.moves.stored();
             for source in sources {
-                stored.orders.remove(&(Arc::clone(&pool), source));
+                stored.evidence.remove(&(Arc::clone(&pool), source));
             }
         }
         MoveWrite::Record(pool, record, revisions) => {
@@ -399,9 +394,9 @@
     format!("{pool}/{}@{}.{}", order.version, id.era, id.revision)
 }
 
-/// Parses the identity after the last `@`; `None` for the ids of earlier builds.
-fn read_order_id(move_id: &str) -> Option<OrderId> {
-    let (_, id) = move_id.rsplit_once('@')?;
+/// Splits the id of a move into pool and version, and the identity of the order; `None` for the ids of earlier builds.
+fn split_move_id(move_id: &str) -> Option<(&str, OrderId)> {
+    let (name, id) = move_id.rsplit_once('@')?;
     let (era, revision) = id.split_once('.')?;
-    Some(StorePosition { era: era.parse().ok()?, revision: revision.parse().ok()? })
+    Some((name, StorePosition { era: era.parse().ok()?, revision: revision.parse().ok()? }))
 }
