Hosts are looked through only if an order is repeated

Each registration of a host went through all hosts, so that a list of 480 did it 480 times, also without any move. Behaviour stays the same. Beside it the alias of revisions where one was a plain number, and the comment of an unlimited memory.

--- a/crates/dispatch/src/registry.rs
+++ b/crates/dispatch/src/registry.rs
@@ -43,9 +43,6 @@
 /// within 2 s; the rest is a margin for the watch.
 const EXPIRY_GRACE: Duration = Duration::from_millis(2300);
 
-/// Source of evidence on moves, which identifies its item in the store beside the pool.
-pub type EvidenceKey = Arc<str>;
-
 /// Time for which a target that has left stays unused if a restored store has its registration again. The store removes such
 /// a registration after some seconds without a message of the target.
 const DEPARTED_HOLD: Duration = Duration::from_secs(10);
@@ -60,6 +57,9 @@
 /// and it uses its share of a limit until the lease that it last renewed has ended by its own clock.
 const GONE_HOST_RETENTION: Duration = HOST_LEASE_TTL.saturating_add(CHANGE_SPREAD);
 
+/// Source of evidence on moves, which identifies its item in the store beside the pool.
+pub type EvidenceKey = Arc<str>;
+
 /// Change of one item in the store.
 #[derive(Clone, Debug, PartialEq)]
 pub enum StoreChange {
@@ -76,7 +76,7 @@
     /// Operators ordered a pool to move to another version, by a document of this store revision; `None` if they removed it.
     MoveOrder(PoolId, Option<MoveOrder>, StoreRevision),
     /// A host recorded the state of a move at this store revision.
-    MoveRecord(PoolId, MoveRecord, u64),
+    MoveRecord(PoolId, MoveRecord, StoreRevision),
     /// Encoded evidence of a host on a move; `None` if it was removed.
     MoveEvidence(PoolId, EvidenceKey, Option<Vec<u8>>),
     /// A host marked a request as crashing targets; `None` if the store has no mark of it any more, which says nothing about
@@ -244,10 +244,10 @@
 
     /// Has repeated orders wait while a live host does not tell them from the earlier ones; returns whether that changes any.
     fn update_holds(&mut self) -> bool {
-        let is_known = self.hosts.values().all(|host| host.knows_order_ids);
+        let is_known = || self.hosts.values().all(|host| host.knows_order_ids);
         let moves = self.moves.values_mut();
         moves.fold(false, |is_changed, pool_move| {
-            let is_held = !is_known && pool_move.is_repeat();
+            let is_held = pool_move.is_repeat() && !is_known();
             pool_move.set_held(is_held) || is_changed
         })
     }
--- a/crates/platform/src/reply_memory.rs
+++ b/crates/platform/src/reply_memory.rs
@@ -55,7 +55,7 @@
         Self::with_limit((machine_bytes as f64 * CONTROL_MEMORY_FRACTION) as usize)
     }
 
-    /// Memory without a limit, for programs that make one call at a time.
+    /// Memory without a limit, for readers that bound the number of their calls.
     pub fn unlimited() -> Arc<Self> {
         Self::with_limit(usize::MAX)
     }
--- a/crates/relay/src/target_connections.rs
+++ b/crates/relay/src/target_connections.rs
@@ -55,7 +55,7 @@
     sent: SentRequests,
 }
 
-/// Complete reply of a target.
+/// Complete reply of a target, with what its head says about the request.
 #[derive(Debug)]
 pub struct ReadReply {
     pub kind: TargetReplyKind,
