--- /dev/null
+++ b/review/standin-2/main.rs
@@ -0,0 +1,28 @@
+//! Stand-ins and checks of the scripts of the second review: `standin CASE RECORD`, with TROUBLE=0 for the same without the
+//! disruption.
+
+mod chaos;
+mod host;
+mod net;
+mod refused;
+mod rollout;
+mod site;
+mod store;
+mod target;
+mod text;
+
+use site::Record;
+
+fn main() {
+    let arguments: Vec<String> = std::env::args().collect();
+    let number = |index: usize| arguments.get(index).and_then(|text| text.parse().ok());
+    let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let record = || Record::create(arguments.get(2).map_or("record.txt", String::as_str));
+    let status = match arguments.get(1).map(String::as_str) {
+        Some("chaos") => chaos::run(number(2).unwrap_or(1), number(3).unwrap_or(20), number(4).unwrap_or(1) as u32),
+        Some("refused") => refused::run(record(), has_trouble),
+        Some("rollout") => rollout::run(record(), has_trouble),
+        _ => 2,
+    };
+    std::process::exit(status);
+}
