--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -2,6 +2,7 @@
 //! disruption.
 
 mod chaos;
+mod cold;
 mod host;
 mod net;
 mod refused;
@@ -22,6 +23,7 @@
         Some("chaos") => chaos::run(number(2).unwrap_or(1), number(3).unwrap_or(20), number(4).unwrap_or(1) as u32),
         Some("refused") => refused::run(record(), has_trouble),
         Some("rollout") => rollout::run(record(), has_trouble),
+        Some("cold") => cold::run(record(), has_trouble),
         _ => 2,
     };
     std::process::exit(status);
--- a/review/standin-2/target.rs
+++ b/review/standin-2/target.rs
@@ -1,9 +1,13 @@
 //! Stand-in for replicas.
 
+use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::net::TcpListener;
+use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering::SeqCst;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -47,8 +51,14 @@
     pub address: SocketAddr,
     pub arrivals: Arc<Mutex<Vec<Arrival>>>,
     script: Arc<Script>,
+    /// Whether the replica's process is down: its port refuses connections.
+    is_down: Arc<AtomicBool>,
+    streams: Arc<Mutex<Vec<TcpStream>>>,
 }
 
+/// Interval at which a replica looks for connections and for its own state.
+const ACCEPT_INTERVAL: Duration = Duration::from_millis(1);
+
 impl Target {
     /// Starts a replica; the script returns whether the request runs, and what happens.
     pub fn start(
@@ -64,17 +74,50 @@
             address: listener.local_addr().expect("it is bound"),
             arrivals,
             script: Arc::new(script),
+            is_down: Arc::default(),
+            streams: Arc::default(),
         };
         let accepting = target.clone();
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let serving = accepting.clone();
-                thread::spawn(move || serving.serve(Connection::new(stream)));
-            }
-        });
+        thread::spawn(move || accepting.accept(listener));
         target
     }
 
+    fn accept(self, listener: TcpListener) {
+        let _ = listener.set_nonblocking(true);
+        let mut listener = Some(listener);
+        loop {
+            if self.is_down.load(SeqCst) {
+                drop(listener.take());
+                for stream in self.streams.lock().expect("no panic before").drain(..) {
+                    let _ = stream.shutdown(Shutdown::Both);
+                }
+                thread::sleep(ACCEPT_INTERVAL);
+                continue;
+            }
+            let Some(open) = &listener else {
+                listener = TcpListener::bind(self.address).ok();
+                listener.iter().for_each(|listener| drop(listener.set_nonblocking(true)));
+                continue;
+            };
+            match open.accept() {
+                Ok((stream, _)) => {
+                    let _ = stream.set_nonblocking(false);
+                    if let Ok(copy) = stream.try_clone() {
+                        self.streams.lock().expect("no panic before").push(copy);
+                    }
+                    let serving = self.clone();
+                    thread::spawn(move || serving.serve(Connection::new(stream)));
+                }
+                Err(_) => thread::sleep(ACCEPT_INTERVAL),
+            }
+        }
+    }
+
+    /// Ends the replica's process, or starts it again at the same address.
+    pub fn set_down(&self, is_down: bool) {
+        self.is_down.store(is_down, SeqCst);
+    }
+
     fn serve(self, mut connection: Connection) {
         loop {
             let until = Instant::now() + Duration::from_secs(600);
