--- a/review/standin-2/host.rs
+++ b/review/standin-2/host.rs
@@ -66,6 +66,11 @@
         self.child = spawn(&self.file, &self.folder, &self.plan.name);
     }
 
+    /// Writes the settings that are in effect from now on, as the platform does when they change.
+    pub fn write_settings(&self) {
+        write_settings(&self.file, &self.plan, &self.ports, false);
+    }
+
     pub fn signal(&self, name: &str) {
         let _ = Command::new("kill").arg(name).arg(self.child.id().to_string()).status();
     }
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -7,6 +7,7 @@
 mod net;
 mod refused;
 mod rollout;
+mod settings;
 mod site;
 mod store;
 mod target;
@@ -24,6 +25,7 @@
         Some("refused") => refused::run(record(), has_trouble),
         Some("rollout") => rollout::run(record(), has_trouble),
         Some("cold") => cold::run(record(), has_trouble),
+        Some("settings") => settings::run(record(), has_trouble),
         _ => 2,
     };
     std::process::exit(status);
