--- a/review/standin-2/chaos.rs
+++ b/review/standin-2/chaos.rs
@@ -24,11 +24,18 @@
 
 pub struct Random(u64);
 impl Random {
-    pub fn new(seed: u64) -> Self { Self(seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1) }
+    pub fn new(seed: u64) -> Self {
+        Self(seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1)
+    }
     pub fn next(&mut self) -> u64 {
-        self.0 ^= self.0 << 13; self.0 ^= self.0 >> 7; self.0 ^= self.0 << 17; self.0
+        self.0 ^= self.0 << 13;
+        self.0 ^= self.0 >> 7;
+        self.0 ^= self.0 << 17;
+        self.0
+    }
+    pub fn below(&mut self, limit: u64) -> u64 {
+        self.next() % limit
     }
-    pub fn below(&mut self, limit: u64) -> u64 { self.next() % limit }
 }
 
 fn record(service: &str, id: &str, index: u64) -> [u8; 16] {
@@ -57,48 +64,129 @@
         for replica in 0..2 + u64::from(*service == "page") {
             let id = format!("{service}-{replica}");
             let name = id.clone();
-            let rng = Mutex::new(Random::new(seed ^ (replica + 7) ^ (service.len() as u64) << 8 ^ u64::from(service.as_bytes()[1]) << 16));
+            let rng = Mutex::new(Random::new(
+                seed ^ (replica + 7)
+                    ^ (service.len() as u64) << 8
+                    ^ u64::from(service.as_bytes()[1]) << 16,
+            ));
             let is_page = *service == "page";
             let service = service.to_string();
             let faults = Arc::clone(&faults_on);
-            let target = Target::start(&id, &service.clone(), Arc::clone(&arrivals), move |request: &Message| {
-                let request_id = request.header("vanillapick-request-id").unwrap_or("").to_owned();
-                let body = if is_page {
-                    let mut text = format!("{name}|{request_id}|{}|{}|", request.first_line, request.body.len()).into_bytes();
-                    text.extend_from_slice(&request.body[..request.body.len().min(64)]);
-                    text
-                } else { part(&service, &request_id) };
-                let good = success(request, &name, &body);
-                let mut rng = rng.lock().expect("no panic before");
-                let work = Duration::from_millis(2 + rng.below(15));
-                if !faults.load(SeqCst) { return (true, Action::Answer(work, good)); }
-                match rng.below(100) {
-                    0 => (true, Action::Mute),
-                    1 => (true, Action::AnswerAndClose(work, good[..good.len() / 2].to_vec())),
-                    2 => (true, Action::AnswerThen(work, good.clone(), Duration::from_millis(rng.below(30)), good)),
-                    3 => (true, Action::Drop(work)),
-                    4..=8 => (false, Action::Answer(Duration::ZERO, shed(request, if rng.below(2) == 0 { 503 } else { 429 }))),
-                    9 => { let s = shed(request, 503); (false, Action::AnswerThen(Duration::ZERO, s.clone(), Duration::from_millis(rng.below(20)), s)) }
-                    10..=13 => (true, Action::Answer(Duration::from_millis(150), good)),
-                    14 => { let stamp = format!("{name}.{request_id}"); (true, Action::Answer(work, crate::net::reply(500, &[("Vanillapick-Request-Id", &request_id), ("Vanillapick-Server-Stamp", &stamp)], b"bad"))) }
-                    _ => (true, Action::Answer(work, good)),
-                }
-            });
+            let target = Target::start(
+                &id,
+                &service.clone(),
+                Arc::clone(&arrivals),
+                move |request: &Message| {
+                    let request_id =
+                        request.header("vanillapick-request-id").unwrap_or("").to_owned();
+                    let body = if is_page {
+                        let mut text = format!(
+                            "{name}|{request_id}|{}|{}|",
+                            request.first_line,
+                            request.body.len()
+                        )
+                        .into_bytes();
+                        text.extend_from_slice(&request.body[..request.body.len().min(64)]);
+                        text
+                    } else {
+                        part(&service, &request_id)
+                    };
+                    let good = success(request, &name, &body);
+                    let mut rng = rng.lock().expect("no panic before");
+                    let work = Duration::from_millis(2 + rng.below(15));
+                    if !faults.load(SeqCst) {
+                        return (true, Action::Answer(work, good));
+                    }
+                    match rng.below(100) {
+                        0 => (true, Action::Mute),
+                        1 => (true, Action::AnswerAndClose(work, good[..good.len() / 2].to_vec())),
+                        2 => (
+                            true,
+                            Action::AnswerThen(
+                                work,
+                                good.clone(),
+                                Duration::from_millis(rng.below(30)),
+                                good,
+                            ),
+                        ),
+                        3 => (true, Action::Drop(work)),
+                        4..=8 => (
+                            false,
+                            Action::Answer(
+                                Duration::ZERO,
+                                shed(request, if rng.below(2) == 0 { 503 } else { 429 }),
+                            ),
+                        ),
+                        9 => {
+                            let s = shed(request, 503);
+                            (
+                                false,
+                                Action::AnswerThen(
+                                    Duration::ZERO,
+                                    s.clone(),
+                                    Duration::from_millis(rng.below(20)),
+                                    s,
+                                ),
+                            )
+                        }
+                        10..=13 => (true, Action::Answer(Duration::from_millis(150), good)),
+                        14 => {
+                            let stamp = format!("{name}.{request_id}");
+                            (
+                                true,
+                                Action::Answer(
+                                    work,
+                                    crate::net::reply(
+                                        500,
+                                        &[
+                                            ("Vanillapick-Request-Id", &request_id),
+                                            ("Vanillapick-Server-Stamp", &stamp),
+                                        ],
+                                        b"bad",
+                                    ),
+                                ),
+                            )
+                        }
+                        _ => (true, Action::Answer(work, good)),
+                    }
+                },
+            );
             let zone = zones[replica as usize % 3];
             store.put(&format!("servers/{id}"), Some(&target.entry(zone, "v1", "ready", 1000, 1)));
             targets.push(target);
         }
     }
     let services: Vec<String> = shards.iter().chain(&["page"]).map(|name| format!("{{\"name\":\"{name}\",\"healthPath\":\"/health\",\"maxConnections\":25,\"protocol\":\"h1\",\"tls\":false,\"warmupS\":3.0,\"coldPerS\":0.0}}")).collect();
-    let config = |version: u64| format!("{{\"version\":{version},\"routes\":[{{\"name\":\"r-page\",\"host\":\"shop.example\",\"prefix\":\"/page/\",\"kind\":\"non_idempotent\",\"timeoutMs\":2000,\"targetLatencyMs\":300,\"priority\":2,\"service\":\"page\",\"maxAttempts\":2,\"allowedRegions\":[]}},{{\"name\":\"r-search\",\"host\":\"shop.example\",\"prefix\":\"/search/\",\"kind\":\"idempotent\",\"timeoutMs\":800,\"targetLatencyMs\":120,\"priority\":1,\"fanoutServices\":[\"s0\",\"s1\",\"s2\",\"s3\"],\"maxAttempts\":2,\"resultLimit\":20,\"minSuccessShare\":0.5,\"allowedRegions\":[]}}],\"services\":[{}],\"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":262144,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}}}", services.join(","));
+    let config = |version: u64| {
+        format!(
+            "{{\"version\":{version},\"routes\":[{{\"name\":\"r-page\",\"host\":\"shop.example\",\"prefix\":\"/page/\",\"kind\":\"non_idempotent\",\"timeoutMs\":2000,\"targetLatencyMs\":300,\"priority\":2,\"service\":\"page\",\"maxAttempts\":2,\"allowedRegions\":[]}},{{\"name\":\"r-search\",\"host\":\"shop.example\",\"prefix\":\"/search/\",\"kind\":\"idempotent\",\"timeoutMs\":800,\"targetLatencyMs\":120,\"priority\":1,\"fanoutServices\":[\"s0\",\"s1\",\"s2\",\"s3\"],\"maxAttempts\":2,\"resultLimit\":20,\"minSuccessShare\":0.5,\"allowedRegions\":[]}}],\"services\":[{}],\"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":262144,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}}}",
+            services.join(",")
+        )
+    };
     store.put("op/config", Some(&config(1)));
-    let hosts: Vec<Host> = (0..6).map(|index| {
-        let zone = zones[[0, 0, 0, 1, 2, 2][index]].to_owned();
-        Host::start(HostPlan { name: format!("frontend-{index}"), zone, store: store.address, cores, config_apply_ms: 3000, grace_s: "6".to_owned() }, &folder, true)
-    }).collect();
+    let hosts: Vec<Host> = (0..6)
+        .map(|index| {
+            let zone = zones[[0, 0, 0, 1, 2, 2][index]].to_owned();
+            Host::start(
+                HostPlan {
+                    name: format!("frontend-{index}"),
+                    zone,
+                    store: store.address,
+                    cores,
+                    config_apply_ms: 3000,
+                    grace_s: "6".to_owned(),
+                },
+                &folder,
+                true,
+            )
+        })
+        .collect();
     let addresses: Vec<_> = hosts.iter().map(|host| host.callers).collect();
     let ends = Instant::now() + Duration::from_secs(20);
-    while !hosts.iter().all(Host::is_ready) { assert!(Instant::now() < ends, "hosts are not ready"); thread::sleep(Duration::from_millis(50)); }
+    while !hosts.iter().all(Host::is_ready) {
+        assert!(Instant::now() < ends, "hosts are not ready");
+        thread::sleep(Duration::from_millis(50));
+    }
     let hosts = Arc::new(Mutex::new(hosts));
     let stop = Arc::new(AtomicBool::new(false));
     let findings: Arc<Mutex<Vec<String>>> = Arc::default();
@@ -107,7 +195,8 @@
     let started = Instant::now();
     let mut clients = Vec::new();
     for client in 0..48_u64 {
-        let (addresses, stop, findings, results) = (addresses.clone(), Arc::clone(&stop), Arc::clone(&findings), Arc::clone(&results));
+        let (addresses, stop, findings, results) =
+            (addresses.clone(), Arc::clone(&stop), Arc::clone(&findings), Arc::clone(&results));
         clients.push(thread::spawn(move || {
             let mut rng = Random::new(seed * 1000 + client);
             let mut count = 0;
@@ -173,13 +262,40 @@
         thread::sleep(Duration::from_millis(1500 + rng.below(1500)));
         let index = rng.below(6) as usize;
         let kind = rng.below(3);
-        events.push(format!("{} ms: host {index} {}", started.elapsed().as_millis(), ["TERM", "KILL", "STOP"][kind as usize]));
+        events.push(format!(
+            "{} ms: host {index} {}",
+            started.elapsed().as_millis(),
+            ["TERM", "KILL", "STOP"][kind as usize]
+        ));
         match kind {
-            0 => { let mut hosts = hosts.lock().unwrap(); hosts[index].signal("-TERM"); let until = Instant::now() + Duration::from_secs(7); while !hosts[index].has_ended() && Instant::now() < until { thread::sleep(Duration::from_millis(20)); }
-                if !hosts[index].has_ended() { findings.lock().unwrap().push(format!("host {index} does not end after SIGTERM")); let _ = hosts[index].child.kill(); }
-                hosts[index].restart(); }
-            1 => { let mut hosts = hosts.lock().unwrap(); let _ = hosts[index].child.kill(); thread::sleep(Duration::from_millis(300)); hosts[index].restart(); }
-            _ => { let hosts = hosts.lock().unwrap(); hosts[index].signal("-STOP"); thread::sleep(Duration::from_millis(rng.below(1500))); hosts[index].signal("-CONT"); }
+            0 => {
+                let mut hosts = hosts.lock().unwrap();
+                hosts[index].signal("-TERM");
+                let until = Instant::now() + Duration::from_secs(7);
+                while !hosts[index].has_ended() && Instant::now() < until {
+                    thread::sleep(Duration::from_millis(20));
+                }
+                if !hosts[index].has_ended() {
+                    findings
+                        .lock()
+                        .unwrap()
+                        .push(format!("host {index} does not end after SIGTERM"));
+                    let _ = hosts[index].child.kill();
+                }
+                hosts[index].restart();
+            }
+            1 => {
+                let mut hosts = hosts.lock().unwrap();
+                let _ = hosts[index].child.kill();
+                thread::sleep(Duration::from_millis(300));
+                hosts[index].restart();
+            }
+            _ => {
+                let hosts = hosts.lock().unwrap();
+                hosts[index].signal("-STOP");
+                thread::sleep(Duration::from_millis(rng.below(1500)));
+                hosts[index].signal("-CONT");
+            }
         }
         down[index].store(1, SeqCst);
     }
@@ -190,21 +306,46 @@
     let results = results.lock().unwrap();
     let mut runs: HashMap<&str, usize> = HashMap::new();
     for arrival in arrivals.iter() {
-        if arrival.has_run { *runs.entry(&arrival.id).or_default() += 1; }
+        if arrival.has_run {
+            *runs.entry(&arrival.id).or_default() += 1;
+        }
         if arrival.line.starts_with("POST") {
-            let (client, count) = arrival.id.split_once('x').map(|(a, b)| (a.parse::<u64>().unwrap(), b.parse::<u64>().unwrap())).unwrap();
-            let is_same = arrival.body.iter().enumerate().all(|(index, byte)| *byte == b'a' + ((index as u64 * 7 + client + count) % 26) as u8);
-            if !is_same || arrival.line != format!("POST /page/{}/a..b?x=%2F&y= HTTP/1.1", arrival.id) { findings.lock().unwrap().push(format!("UNASKED {} {}", arrival.id, arrival.line)); }
-            if arrival.has_run && runs[arrival.id.as_str()] > 1 { findings.lock().unwrap().push(format!("TWICE {}", arrival.id)); }
+            let (client, count) = arrival
+                .id
+                .split_once('x')
+                .map(|(a, b)| (a.parse::<u64>().unwrap(), b.parse::<u64>().unwrap()))
+                .unwrap();
+            let is_same = arrival.body.iter().enumerate().all(|(index, byte)| {
+                *byte == b'a' + ((index as u64 * 7 + client + count) % 26) as u8
+            });
+            if !is_same
+                || arrival.line != format!("POST /page/{}/a..b?x=%2F&y= HTTP/1.1", arrival.id)
+            {
+                findings.lock().unwrap().push(format!("UNASKED {} {}", arrival.id, arrival.line));
+            }
+            if arrival.has_run && runs[arrival.id.as_str()] > 1 {
+                findings.lock().unwrap().push(format!("TWICE {}", arrival.id));
+            }
             let result = results.get(&arrival.id).map_or("", String::as_str);
-            if arrival.has_run && ["503", "429", "408", "421"].contains(&result) { findings.lock().unwrap().push(format!("REFUSED {} {result}", arrival.id)); }
+            if arrival.has_run && ["503", "429", "408", "421"].contains(&result) {
+                findings.lock().unwrap().push(format!("REFUSED {} {result}", arrival.id));
+            }
         }
     }
     let mut counts: HashMap<String, usize> = HashMap::new();
-    for label in results.values() { *counts.entry(label.split('@').next().unwrap_or("").to_owned()).or_default() += 1; }
+    for label in results.values() {
+        *counts.entry(label.split('@').next().unwrap_or("").to_owned()).or_default() += 1;
+    }
     let findings = findings.lock().unwrap();
-    println!("requests {} {counts:?}; arrivals {}; events {}", results.len(), arrivals.len(), events.len());
-    for finding in findings.iter().take(20) { println!("  {finding}"); }
+    println!(
+        "requests {} {counts:?}; arrivals {}; events {}",
+        results.len(),
+        arrivals.len(),
+        events.len()
+    );
+    for finding in findings.iter().take(20) {
+        println!("  {finding}");
+    }
     println!("findings {}", findings.len());
     let _ = std::fs::remove_dir_all(&folder);
     i32::from(!findings.is_empty())
--- a/review/standin-2/cold.rs
+++ b/review/standin-2/cold.rs
@@ -61,10 +61,16 @@
     /// Counts a request; returns whether the replica crashes under it.
     fn count(&self) -> bool {
         let now = Instant::now();
-        let is_cold = self.starts.lock().expect("no panic before").last().is_some_and(|start| now < *start + COLD_TIME);
+        let is_cold = self
+            .starts
+            .lock()
+            .expect("no panic before")
+            .last()
+            .is_some_and(|start| now < *start + COLD_TIME);
         let mut times = self.since_start.lock().expect("no panic before");
         times.push(now);
-        let in_second = times.iter().filter(|at| now.duration_since(**at) < Duration::from_secs(1)).count();
+        let in_second =
+            times.iter().filter(|at| now.duration_since(**at) < Duration::from_secs(1)).count();
         let crashes = is_cold && CRASH_RATE < in_second;
         crashes && !self.has_crashed.swap(true, SeqCst)
     }
@@ -84,7 +90,8 @@
         thread::sleep(REGISTRATION_DELAY);
         let left = COLD_TIME.saturating_sub(started.elapsed()).as_millis();
         let entry = self.target.entry(self.zone, "v1", "ready", born, 1);
-        let entry = entry.replace("\"warmupRemainingMs\":0", &format!("\"warmupRemainingMs\":{left}"));
+        let entry =
+            entry.replace("\"warmupRemainingMs\":0", &format!("\"warmupRemainingMs\":{left}"));
         site_store.put(&format!("servers/{}", self.target.id), Some(&entry));
         record.line(&format!("{} is registered, cold for {left} ms more", self.target.id));
     }
@@ -100,7 +107,9 @@
         let counted = Arc::clone(&state);
         let target = Target::start(&id, "page", Arc::clone(&site.arrivals), move |request| {
             if counted.count() {
-                log.line(&format!("{name} crashes: more than {CRASH_RATE} requests in one second while cold"));
+                log.line(&format!(
+                    "{name} crashes: more than {CRASH_RATE} requests in one second while cold"
+                ));
             }
             if counted.has_crashed.load(SeqCst) {
                 return (true, Action::Drop(Duration::ZERO));
@@ -114,7 +123,10 @@
     let routes = [route("r-page", "/page/", "idempotent", "page")];
     let document = config(1, &routes, &["page"]);
     let document = document.replace("\"coldPerS\":0.0", &format!("\"coldPerS\":{COLD_PER_S:.1}"));
-    site.store.put("op/config", Some(&document.replace("\"maxConnections\":25", "\"maxConnections\":96")));
+    site.store.put(
+        "op/config",
+        Some(&document.replace("\"maxConnections\":25", "\"maxConnections\":96")),
+    );
     if !site.start_hosts() {
         return 2;
     }
@@ -123,7 +135,8 @@
     let answers: Arc<Mutex<Vec<(Instant, u16)>>> = Arc::default();
     let callers: Vec<_> = (0..CALLERS)
         .map(|caller| {
-            let (addresses, answers, stop) = (addresses.clone(), Arc::clone(&answers), Arc::clone(&stop));
+            let (addresses, answers, stop) =
+                (addresses.clone(), Arc::clone(&answers), Arc::clone(&stop));
             thread::spawn(move || {
                 let mut number = 0;
                 thread::sleep(CALL_INTERVAL * caller as u32 / CALLERS as u32);
@@ -131,7 +144,8 @@
                     number += 1;
                     let (id, sent) = (format!("c{caller:02}n{number:04}"), Instant::now());
                     let host = (caller + number) as usize % addresses.len();
-                    let answer = call(addresses[host], "GET", &format!("/page/{id}"), &id, 1000, b"");
+                    let answer =
+                        call(addresses[host], "GET", &format!("/page/{id}"), &id, 1000, b"");
                     let status = answer.map_or(0, |answer| answer.status());
                     answers.lock().expect("no panic before").push((sent, status));
                     thread::sleep(CALL_INTERVAL.saturating_sub(sent.elapsed()));
@@ -147,7 +161,8 @@
     let restarting: Vec<_> = replicas
         .iter()
         .map(|replica| {
-            let (target, zone, state) = (replica.target.clone(), replica.zone, Arc::clone(&replica.state));
+            let (target, zone, state) =
+                (replica.target.clone(), replica.zone, Arc::clone(&replica.state));
             let replica = Replica { target, zone, state };
             let (store, record, stop) = (site.store.clone(), record.clone(), Arc::clone(&stop));
             thread::spawn(move || {
@@ -175,10 +190,17 @@
         for start in starts.iter() {
             let times: Vec<Instant> = arrivals
                 .iter()
-                .filter(|arrival| arrival.target == *id && *start <= arrival.at && arrival.at < *start + COLD_TIME)
+                .filter(|arrival| {
+                    arrival.target == *id && *start <= arrival.at && arrival.at < *start + COLD_TIME
+                })
                 .map(|arrival| arrival.at)
                 .collect();
-            let in_second = |first: &Instant| times.iter().filter(|at| first <= *at && **at < *first + Duration::from_secs(1)).count();
+            let in_second = |first: &Instant| {
+                times
+                    .iter()
+                    .filter(|at| first <= *at && **at < *first + Duration::from_secs(1))
+                    .count()
+            };
             let most = times.iter().map(in_second).max().unwrap_or(0);
             record.line(&format!(
                 "{id}, cold from {} ms on, got {most} requests in one second; {allowed} are allowed",
@@ -188,7 +210,8 @@
         }
     }
     let answers = answers.lock().expect("no panic before");
-    let mut seconds: std::collections::BTreeMap<u128, (usize, usize)> = std::collections::BTreeMap::new();
+    let mut seconds: std::collections::BTreeMap<u128, (usize, usize)> =
+        std::collections::BTreeMap::new();
     for (sent, status) in answers.iter() {
         let second = seconds.entry(record.ms(*sent) / 1000).or_default();
         second.0 += 1;
--- a/review/standin-2/host.rs
+++ b/review/standin-2/host.rs
@@ -123,7 +123,11 @@
     let values = [
         ("nodeName|json", text(&plan.name)),
         ("zone|json", text(&plan.zone)),
-        ("zones|json", "{\"lima-a\":\"lima\",\"arequipa-a\":\"arequipa\",\"trujillo-a\":\"trujillo\"}".to_owned()),
+        (
+            "zones|json",
+            "{\"lima-a\":\"lima\",\"arequipa-a\":\"arequipa\",\"trujillo-a\":\"trujillo\"}"
+                .to_owned(),
+        ),
         ("listenAddresses.frontendAddress|json", address(ports[0])),
         ("listenAddresses.readinessAddress|json", address(ports[1])),
         ("listenAddresses.control|json", address(ports[2])),
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -21,7 +21,11 @@
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let record = || Record::create(arguments.get(2).map_or("record.txt", String::as_str));
     let status = match arguments.get(1).map(String::as_str) {
-        Some("chaos") => chaos::run(number(2).unwrap_or(1), number(3).unwrap_or(20), number(4).unwrap_or(1) as u32),
+        Some("chaos") => chaos::run(
+            number(2).unwrap_or(1),
+            number(3).unwrap_or(20),
+            number(4).unwrap_or(1) as u32,
+        ),
         Some("refused") => refused::run(record(), has_trouble),
         Some("rollout") => rollout::run(record(), has_trouble),
         Some("cold") => cold::run(record(), has_trouble),
--- a/review/standin-2/refused.rs
+++ b/review/standin-2/refused.rs
@@ -84,7 +84,9 @@
                         let wait = answer.ok().and_then(|answer| {
                             answer.header("retry-after").and_then(|text| text.parse::<f64>().ok())
                         });
-                        thread::sleep(Duration::from_secs_f64(wait.unwrap_or(0.05).clamp(0.0, 0.6)));
+                        thread::sleep(Duration::from_secs_f64(
+                            wait.unwrap_or(0.05).clamp(0.0, 0.6),
+                        ));
                     }
                     thread::sleep(Duration::from_millis(40));
                 }
@@ -108,7 +110,9 @@
     let doubled = orders.values().filter(|runs| 1 < **runs).count();
     let served = answers.iter().filter(|(_, status)| *status == 200).count();
     record.line(&format!("{} requests, {served} served, {} runs", answers.len(), arrivals.len()));
-    refused.iter().for_each(|id| record.line(&format!("REFUSED: request {id} was refused and has run")));
+    refused
+        .iter()
+        .for_each(|id| record.line(&format!("REFUSED: request {id} was refused and has run")));
     record.line(&format!(
         "{} requests were answered 503, 429, 408 or 421 and have run; {doubled} orders ran twice",
         refused.len()
--- a/review/standin-2/rollout.rs
+++ b/review/standin-2/rollout.rs
@@ -68,7 +68,10 @@
             && version == "v2"
             && count.fetch_add(1, SeqCst) % SLOW_PERIOD == SLOW_PERIOD - 1;
         let work = if is_slow { WORK * SLOW_FACTOR } else { WORK };
-        log.line(&format!("{name} ({version}) begins request {request_id}, {} ms", work.as_millis()));
+        log.line(&format!(
+            "{name} ({version}) begins request {request_id}, {} ms",
+            work.as_millis()
+        ));
         if is_slow {
             bad.lock().expect("no panic before").push(Instant::now() + work.min(left));
         }
@@ -86,20 +89,29 @@
 pub fn run(record: Record, has_trouble: bool) -> i32 {
     let mut site = Site::new(record.clone());
     let bad: BadAnswers = Arc::default();
-    let (old_stopped, new_stopped) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(false)));
+    let (old_stopped, new_stopped) =
+        (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(false)));
     let register = |site: &Site, version: &'static str, stopped: &Arc<AtomicBool>| {
         for number in 0..REPLICAS {
             let id = format!("i-{version}-{number}");
-            let target =
-                start(site, id.clone(), version, Arc::clone(stopped), Arc::clone(&bad), has_trouble);
+            let target = start(
+                site,
+                id.clone(),
+                version,
+                Arc::clone(stopped),
+                Arc::clone(&bad),
+                has_trouble,
+            );
             let zone = ["lima-a", "arequipa-a", "trujillo-a"][number as usize % 3];
             let entry = target.entry(zone, version, "ready", 1_700_000_000_000, 1);
-            site.store.put(&format!("servers/{id}"), Some(&entry.replace("\"slots\":2", "\"slots\":32")));
+            site.store
+                .put(&format!("servers/{id}"), Some(&entry.replace("\"slots\":2", "\"slots\":32")));
         }
     };
     register(&site, "v1", &old_stopped);
     let routes = [route("r-orders", "/orders/", "non_idempotent", "orders")];
-    let document = config(1, &routes, &["orders"]).replace("\"maxConnections\":25", "\"maxConnections\":300");
+    let document =
+        config(1, &routes, &["orders"]).replace("\"maxConnections\":25", "\"maxConnections\":300");
     site.store.put("op/config", Some(&document));
     if !site.start_hosts() {
         return 2;
@@ -118,7 +130,8 @@
                     number += 1;
                     let (id, sent) = (format!("c{caller:02}n{number:04}"), Instant::now());
                     let host = (caller + number) as usize % addresses.len();
-                    let answer = call(addresses[host], "POST", "/orders/1", &id, DEADLINE_MS, b"order");
+                    let answer =
+                        call(addresses[host], "POST", "/orders/1", &id, DEADLINE_MS, b"order");
                     let status = answer.map_or(0, |answer| answer.status());
                     record.line(&format!("request {id} is answered {status}"));
                     answers.lock().expect("no panic before").push((sent, status));
@@ -155,28 +168,45 @@
     let arrivals = site.arrivals.lock().expect("no panic before");
     let in_move = |at: Instant| ordered <= at && at <= deadline;
     let all = arrivals.iter().filter(|arrival| arrival.has_run && in_move(arrival.at));
-    let (all, new): (Vec<_>, Vec<_>) = (all.clone().collect(), all.filter(|arrival| arrival.target.starts_with("i-v2")).collect());
+    let (all, new): (Vec<_>, Vec<_>) =
+        (all.clone().collect(), all.filter(|arrival| arrival.target.starts_with("i-v2")).collect());
     let allowed = all.len() as f64 * EXPOSURE_SHARE + EXPOSURE_SLACK;
     let mut bad = bad.lock().expect("no panic before").clone();
     bad.sort();
     let late = bad.get(49).map_or(0, |fiftieth| {
         let until = *fiftieth + ROLLBACK_TIME + Duration::from_millis(100);
-        arrivals.iter().filter(|arrival| arrival.target.starts_with("i-v2") && until < arrival.at).count()
+        arrivals
+            .iter()
+            .filter(|arrival| arrival.target.starts_with("i-v2") && until < arrival.at)
+            .count()
     });
     let answers = answers.lock().expect("no panic before");
     let count = |from: Instant, to: Instant| {
-        let within: Vec<u16> =
-            answers.iter().filter(|(sent, _)| from <= *sent && *sent < to).map(|(_, status)| *status).collect();
-        format!("{} of {} served", within.iter().filter(|status| **status == 200).count(), within.len())
+        let within: Vec<u16> = answers
+            .iter()
+            .filter(|(sent, _)| from <= *sent && *sent < to)
+            .map(|(_, status)| *status)
+            .collect();
+        format!(
+            "{} of {} served",
+            within.iter().filter(|status| **status == 200).count(),
+            within.len()
+        )
     };
     record.line(&format!("before the order: {}", count(ordered - Duration::from_secs(3), ordered)));
-    record.line(&format!("after the move's deadline: {}", count(deadline, deadline + Duration::from_secs(5))));
+    record.line(&format!(
+        "after the move's deadline: {}",
+        count(deadline, deadline + Duration::from_secs(5))
+    ));
     record.line(&format!(
         "between the order and its deadline v2 got {} of {} requests, of which {allowed:.0} are allowed to a bad version",
         new.len(),
         all.len()
     ));
-    record.line(&format!("bad answers of v2: {}; requests at v2 later than 5 s after the 50th: {late}", bad.len()));
+    record.line(&format!(
+        "bad answers of v2: {}; requests at v2 later than 5 s after the 50th: {late}",
+        bad.len()
+    ));
     record.line(&format!("status/rollout/orders is {known}"));
     if !is_whole || all.is_empty() {
         return 2;
--- a/review/standin-2/settings.rs
+++ b/review/standin-2/settings.rs
@@ -70,7 +70,10 @@
         host.plan.grace_s = value.to_owned();
         host.write_settings();
         host.signal("-HUP");
-        record.line(&format!("the settings of {} change: gracePeriodS = {value}; SIGHUP", host.plan.name));
+        record.line(&format!(
+            "the settings of {} change: gracePeriodS = {value}; SIGHUP",
+            host.plan.name
+        ));
     }
     thread::sleep(Duration::from_secs(1));
     let mut unstarted = 0;
@@ -94,7 +97,10 @@
                 break;
             }
             let status = host.child.try_wait().ok().flatten();
-            record.line(&format!("{}, start {start}: not ready, ended with {status:?}", host.plan.name));
+            record.line(&format!(
+                "{}, start {start}: not ready, ended with {status:?}",
+                host.plan.name
+            ));
         }
         unstarted += usize::from(!is_ready);
     }
@@ -105,10 +111,16 @@
     let answers = answers.lock().expect("no panic before");
     let served = |from: Option<Instant>| {
         let within = answers.iter().filter(|(at, _)| from.is_none_or(|from| from <= *at));
-        let (all, served) = within.fold((0, 0), |(all, served), (_, status)| (all + 1, served + usize::from(*status == 200)));
+        let (all, served) = within.fold((0, 0), |(all, served), (_, status)| {
+            (all + 1, served + usize::from(*status == 200))
+        });
         format!("{served} of {all}")
     };
-    record.line(&format!("served in all: {}; after the last restart: {}", served(None), served(Some(last))));
+    record.line(&format!(
+        "served in all: {}; after the last restart: {}",
+        served(None),
+        served(Some(last))
+    ));
     record.line(&format!("{unstarted} of {} processes don't start", site.hosts.len()));
     if !is_whole {
         return 2;
--- a/review/standin-2/site.rs
+++ b/review/standin-2/site.rs
@@ -69,7 +69,8 @@
 impl Site {
     /// Starts the store; the hosts come with [`Self::start_hosts`], once the store has its first documents.
     pub fn new(record: Record) -> Self {
-        let folder = std::env::temp_dir().join(format!("vanillapick-review-{}", std::process::id()));
+        let folder =
+            std::env::temp_dir().join(format!("vanillapick-review-{}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a temporary folder");
         let log = record.clone();
         let store = Store::start("127.0.0.1:0", move |line| {
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -220,7 +220,10 @@
         if is_stale {
             let then = Instant::now() - Duration::from_millis(self.stale_ms.load(SeqCst));
             let known = state.times.iter().rev().find(|(time, _)| *time <= then);
-            revision = known.map_or(state.times.first().map_or(revision, |(_, first)| first - 1), |known| known.1);
+            revision = known
+                .map_or(state.times.first().map_or(revision, |(_, first)| first - 1), |known| {
+                    known.1
+                });
         }
         let rows = rows.join(",");
         (200, format!("{{\"items\":[{rows}],\"hasMore\":{has_more},\"currentRev\":{revision}}}"))
@@ -245,7 +248,10 @@
             }
             let left = until.saturating_duration_since(Instant::now());
             if left.is_zero() {
-                return (200, format!("{{\"events\":[],\"currentRev\":{}}}", after.max(state.revision)));
+                return (
+                    200,
+                    format!("{{\"events\":[],\"currentRev\":{}}}", after.max(state.revision)),
+                );
             }
             state = self.state.1.wait_timeout(state, left).expect("no panic before").0;
         }
--- a/review/standin-2/target.rs
+++ b/review/standin-2/target.rs
@@ -126,7 +126,10 @@
             let expected = request.header("vanillapick-expect-instance");
             let is_other = expected.is_some_and(|expected| expected != self.id);
             let (has_run, action) = if is_other {
-                let headers = [("Vanillapick-Request-Id", id.as_str()), ("Vanillapick-Instance-Id", &self.id)];
+                let headers = [
+                    ("Vanillapick-Request-Id", id.as_str()),
+                    ("Vanillapick-Instance-Id", &self.id),
+                ];
                 (false, Action::Answer(Duration::ZERO, reply(421, &headers, b"")))
             } else {
                 (self.script)(&request)
@@ -174,7 +177,14 @@
     }
 
     /// Registration in the store.
-    pub fn entry(&self, zone: &str, version: &str, state: &str, born: u64, sequence: u64) -> String {
+    pub fn entry(
+        &self,
+        zone: &str,
+        version: &str,
+        state: &str,
+        born: u64,
+        sequence: u64,
+    ) -> String {
         format!(
             "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{zone}\",\"version\":\"{version}\",\"slots\":2,\
              \"state\":\"{state}\",\"warmupRemainingMs\":0,\"sequence\":{sequence},\"born\":{born}}}",
--- a/review/standin-2/text.rs
+++ b/review/standin-2/text.rs
@@ -146,10 +146,15 @@
             b'n' => self.word("null", Json::Null),
             _ => {
                 let start = self.at;
-                while self.bytes.get(self.at).is_some_and(|byte| b"+-.eE0123456789".contains(byte)) {
+                while self.bytes.get(self.at).is_some_and(|byte| b"+-.eE0123456789".contains(byte))
+                {
                     self.at += 1;
                 }
-                std::str::from_utf8(&self.bytes[start..self.at]).ok()?.parse().ok().map(Json::Number)
+                std::str::from_utf8(&self.bytes[start..self.at])
+                    .ok()?
+                    .parse()
+                    .ok()
+                    .map(Json::Number)
             }
         }
     }
