--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -4,4 +4,4 @@
 case_folder="$(cd "$(dirname "$0")" && pwd)"
 cd "$case_folder/../.." || exit 2
 [ -x target/release/vanillapick-relay ] && [ -x target/review-2/standin ] || exit 2
-exec target/review-2/standin rollout "$case_folder/record.txt"
+exec target/review-2/standin rollback "$case_folder/record.txt"
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -1,11 +1,11 @@
 //! Stand-ins and checks of the scripts of the second review: `standin CASE RECORD`, with TROUBLE=0 for the same without the
-//! disruption.
+//! disruption; `standin chaos SEED SECONDS CORES` explores.
 
 mod chaos;
 mod cold;
 mod host;
 mod net;
-mod refused;
+mod rollback;
 mod rollout;
 mod settings;
 mod site;
@@ -21,15 +21,14 @@
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let record = || Record::create(arguments.get(2).map_or("record.txt", String::as_str));
     let status = match arguments.get(1).map(String::as_str) {
-        Some("chaos") => chaos::run(
-            number(2).unwrap_or(1),
-            number(3).unwrap_or(20),
-            number(4).unwrap_or(1) as u32,
-        ),
-        Some("refused") => refused::run(record(), has_trouble),
-        Some("rollout") => rollout::run(record(), has_trouble),
+        Some("chaos") => {
+            let cores = number(4).unwrap_or(1);
+            chaos::run(number(2).unwrap_or(1), number(3).unwrap_or(20), cores as u32)
+        }
         Some("cold") => cold::run(record(), has_trouble),
+        Some("rollout") => rollout::run(record(), has_trouble),
         Some("settings") => settings::run(record(), has_trouble),
+        Some("rollback") => rollback::run(record(), has_trouble),
         _ => 2,
     };
     std::process::exit(status);
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -103,10 +103,6 @@
         state.items.get(key).map(|item| String::from_utf8_lossy(&item.value).into_owned())
     }
 
-    pub fn keys(&self, prefix: &str) -> Vec<String> {
-        self.lock().items.keys().filter(|key| key.starts_with(prefix)).cloned().collect()
-    }
-
     fn expire(&self) {
         let now = Instant::now();
         let mut state = self.lock();
@@ -124,7 +120,9 @@
                 .filter(|(_, item)| item.lease == *lease)
                 .map(|(key, _)| key.clone())
                 .collect();
-            keys.iter().for_each(|key| drop(state.write(key, None, 0)));
+            for key in &keys {
+                state.write(key, None, 0);
+            }
         }
         drop(state);
         if !over.is_empty() {
