--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -1,5 +1,5 @@
 //! Stand-ins and checks of the scripts of the second review: `standin CASE RECORD`, with TROUBLE=0 for the same without the
-//! disruption; `standin chaos SEED SECONDS CORES` explores.
+//! disruption; `standin chaos SEED SECONDS CORES` and `standin rollout-empty RECORD` explore.
 
 mod chaos;
 mod cold;
@@ -26,7 +26,8 @@
             chaos::run(number(2).unwrap_or(1), number(3).unwrap_or(20), cores as u32)
         }
         Some("cold") => cold::run(record(), has_trouble),
-        Some("rollout") => rollout::run(record(), has_trouble),
+        Some("rollout") => rollout::run(record(), has_trouble, true),
+        Some("rollout-empty") => rollout::run(record(), has_trouble, false),
         Some("settings") => settings::run(record(), has_trouble),
         Some("rollback") => rollback::run(record(), has_trouble),
         _ => 2,
--- a/review/standin-2/rollout.rs
+++ b/review/standin-2/rollout.rs
@@ -86,7 +86,8 @@
     })
 }
 
-pub fn run(record: Record, has_trouble: bool) -> i32 {
+/// Runs the move; without `has_replicas`, none of the new version ever starts.
+pub fn run(record: Record, has_trouble: bool, has_replicas: bool) -> i32 {
     let mut site = Site::new(record.clone());
     let bad: BadAnswers = Arc::default();
     let (old_stopped, new_stopped) =
@@ -149,7 +150,9 @@
     site.store.put("op/rollout/orders", Some(&order));
     let ordered = Instant::now();
     record.line("the move to v2 is ordered");
-    register(&site, "v2", &new_stopped);
+    if has_replicas {
+        register(&site, "v2", &new_stopped);
+    }
     let deadline = ordered + MOVE_TIME;
     let mut known = String::new();
     while Instant::now() < deadline + Duration::from_secs(6) {
@@ -211,6 +214,9 @@
     if !is_whole || all.is_empty() {
         return 2;
     }
+    if !has_replicas {
+        return i32::from(known.contains("completed"));
+    }
     if !has_trouble {
         return i32::from(!known.contains("completed"));
     }
