Settings: a figure of the platform that cannot be used is replaced, and the host starts

Cause: the deploy template passes figures of the platform on to a schema that takes whole numbers of a narrow range, and that was written for operators, who can correct a file. The same held for every figure of the template: a fraction of memory, a grace or window of 0, true, and a figure that the platform does not have (rendered as null).

Change: durations are one type of the schema, read from whole and fractional numbers of seconds or milliseconds. A file may ask for replacements, which the template does: out of range gives way to the nearest valid number, true, false, null and zero to the default, unknown fields are left out, each reported with its place at the start, on SIGHUP and by the check. In other files the same values stay errors, and text in place of a number does in the template too.

--- a/crates/relay/src/graceful_shutdown.rs
+++ b/crates/relay/src/graceful_shutdown.rs
@@ -23,7 +23,7 @@
 
 /// Keeps serving until callers use other hosts and all requests are answered, or the grace period is about to end.
 pub(crate) async fn shut_down(host: &Arc<RelayHost>) {
-    let ends_at = host.now() + host.settings.stop_grace().saturating_sub(SHUTDOWN_MARGIN);
+    let ends_at = host.now() + host.settings.stop_grace.saturating_sub(SHUTDOWN_MARGIN);
     tracing::info!(running = host.running(), "host is leaving");
     host.set_exit(ends_at);
     host.set_phase(HostPhase::Leaving);
--- a/crates/relay/src/process.rs
+++ b/crates/relay/src/process.rs
@@ -9,6 +9,8 @@
 use tokio::signal::unix::signal;
 use tracing_appender::non_blocking::NonBlockingBuilder;
 use tracing_appender::non_blocking::WorkerGuard;
+use vanillapick_settings::FindingReport;
+use vanillapick_settings::LoadedSettings;
 use vanillapick_settings::RelaySettings;
 use vanillapick_settings::load_relay_settings;
 
@@ -27,13 +29,17 @@
 /// Exit status for invalid settings or an invalid command line.
 pub const EXIT_INVALID_INPUT: u8 = 2;
 
-/// Validates a settings file and prints all errors.
+/// Validates a settings file as a start does, and prints all errors and replaced values.
 pub fn check(file: &Path) -> ExitCode {
     match load_relay_settings(file) {
-        Ok(_) => {
+        Ok(LoadedSettings { replaced: None, .. }) => {
             println!("{}: nothing wrong", file.display());
             ExitCode::SUCCESS
         }
+        Ok(LoadedSettings { replaced: Some(report), .. }) => {
+            println!("{report}\n{}: usable, with replaced values", file.display());
+            ExitCode::SUCCESS
+        }
         Err(report) => {
             eprintln!("{report}");
             ExitCode::from(EXIT_INVALID_INPUT)
@@ -43,14 +49,15 @@
 
 /// Runs a host with the settings in `file` until SIGTERM or SIGINT.
 pub fn run(file: &Path, wire: PlatformWire) -> ExitCode {
-    let settings = match load_relay_settings(file) {
-        Ok(settings) => settings,
+    let LoadedSettings { settings, replaced } = match load_relay_settings(file) {
+        Ok(loaded) => loaded,
         Err(report) => {
             eprintln!("{report}");
             return ExitCode::from(EXIT_INVALID_INPUT);
         }
     };
     let _log = start_log();
+    log_replaced(replaced.as_ref());
     // More threads than cores would only add context switches.
     let runtime = match settings.machine.cores {
         1 => Builder::new_current_thread().enable_all().build(),
@@ -96,7 +103,8 @@
 /// lifetime of a process.
 fn check_settings_on_reload(file: &Path, host: &RelayHost) {
     match load_relay_settings(file) {
-        Ok(settings) => {
+        Ok(LoadedSettings { settings, replaced }) => {
+            log_replaced(replaced.as_ref());
             let is_changed = settings != host.settings;
             tracing::info!(
                 is_changed,
@@ -109,6 +117,12 @@
     }
 }
 
+fn log_replaced(replaced: Option<&FindingReport>) {
+    for finding in replaced.iter().flat_map(|report| report.findings()) {
+        tracing::warn!(place = finding.place, %finding, "unusable value in the settings file was replaced");
+    }
+}
+
 fn start_log() -> WorkerGuard {
     let (writer, guard) = NonBlockingBuilder::default()
         .buffered_lines_limit(MAX_BUFFERED_LOG_LINES)
--- a/crates/relay/src/relay_server.rs
+++ b/crates/relay/src/relay_server.rs
@@ -135,7 +135,7 @@
 
 fn retry_budget_limits(settings: &RelaySettings) -> RetryBudgetLimits {
     let limits = &settings.limits;
-    let window = Duration::from_secs_f64(limits.extra_window_s);
+    let window = limits.extra_window;
     RetryBudgetLimits {
         ratio: limits.extra_ratio,
         slack: limits.extra_slack,
--- a/crates/relay/src/store_follower.rs
+++ b/crates/relay/src/store_follower.rs
@@ -40,6 +40,9 @@
 /// starts only after the store has replied to the host steadily for some seconds.
 const CHECK_PERIOD_FRACTION: f64 = 0.66;
 
+/// Minimum interval between checks, however short the time for a change to take effect is.
+const MIN_CHECK_PERIOD: Duration = Duration::from_millis(100);
+
 /// Time in which a watch must return after a check has found a newer revision.
 const WATCH_RETURN_GRACE: Duration = Duration::from_millis(300);
 
@@ -315,7 +318,8 @@
     /// Interval between checks of this host's own watch; shorter if peers depend on it.
     fn check_period(&self) -> Duration {
         let default = self.host.settings.change_time.mul_f64(CHECK_PERIOD_FRACTION);
-        self.shared_check_period().map_or(default, |period| period.min(default))
+        let period = self.shared_check_period().map_or(default, |period| period.min(default));
+        period.max(MIN_CHECK_PERIOD)
     }
 
     fn shared_check_period(&self) -> Option<Duration> {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -3,8 +3,10 @@
 pub mod entry_settings;
 pub mod finding;
 pub mod load;
+pub mod loaded_settings;
 pub mod relay_settings;
 pub mod table_file;
+mod duration_unit;
 mod schema;
 mod entry_schema;
 mod relay_check;
@@ -28,6 +30,7 @@
 pub use load::parse_entry_settings;
 pub use load::parse_relay_settings;
 pub use load::parse_table_file;
+pub use loaded_settings::LoadedSettings;
 pub use relay_settings::RelaySettings;
 pub use table_file::TableBase;
 pub use table_file::TableFile;
--- a/crates/settings/src/load.rs
+++ b/crates/settings/src/load.rs
@@ -14,6 +14,7 @@
 use crate::entry_settings::EntrySettings;
 use crate::finding::FindingReport;
 use crate::finding::SourceFinding;
+use crate::loaded_settings::LoadedSettings;
 use crate::relay_check::check_relay_settings;
 use crate::relay_schema::RELAY_SETTINGS;
 use crate::relay_settings::RelaySettings;
@@ -34,13 +35,16 @@
 }
 
 /// Loads the settings of a relay; the error contains all findings.
-pub fn load_relay_settings(path: &Path) -> Result<RelaySettings, FindingReport> {
+pub fn load_relay_settings(path: &Path) -> Result<LoadedSettings<RelaySettings>, FindingReport> {
     parse_relay_settings(&path.display().to_string(), &read_file(path)?)
 }
 
 /// Parses the settings of a relay from `text`; `name` is the file name shown in findings.
-pub fn parse_relay_settings(name: &str, text: &str) -> Result<RelaySettings, FindingReport> {
-    parse_and_check(name, text, &RELAY_SETTINGS, check_relay_settings)
+pub fn parse_relay_settings(
+    name: &str,
+    text: &str,
+) -> Result<LoadedSettings<RelaySettings>, FindingReport> {
+    parse_with_replacements(name, text, &RELAY_SETTINGS, check_relay_settings)
 }
 
 /// Loads both tables; the error contains all findings, including those of [`ConfigTable::check`].
@@ -111,6 +115,15 @@
     schema: &'static ValueSchema,
     check: fn(&T) -> Vec<TableFinding>,
 ) -> Result<T, FindingReport> {
+    parse_with_replacements(name, text, schema, check).map(|loaded| loaded.settings)
+}
+
+fn parse_with_replacements<T: DeserializeOwned>(
+    name: &str,
+    text: &str,
+    schema: &'static ValueSchema,
+    check: fn(&T) -> Vec<TableFinding>,
+) -> Result<LoadedSettings<T>, FindingReport> {
     let mut validation = FileValidation::new(name, text);
     let Some(value) = validation.validate(schema) else {
         return Err(FindingReport::new(validation.into_findings()));
@@ -128,9 +141,10 @@
             help: "see docs/operators/settings.md for the expected format".to_owned(),
         }),
     }
+    let replaced = validation.take_replaced();
     let findings = validation.into_findings();
     match typed {
-        Ok(typed) if findings.is_empty() => Ok(typed),
+        Ok(settings) if findings.is_empty() => Ok(LoadedSettings { settings, replaced }),
         _ => Err(FindingReport::new(findings)),
     }
 }
--- a/crates/settings/src/relay_check.rs
+++ b/crates/settings/src/relay_check.rs
@@ -26,9 +26,5 @@
         let label = "the address is already used for peers".to_owned();
         add_finding("parts", label, "use another port");
     }
-    if settings.limits.extra_window_s <= 0.0 {
-        let label = "the window must be longer than 0 s".to_owned();
-        add_finding("limits.extra_window_s", label, "write a length in seconds");
-    }
     findings
 }
--- a/crates/settings/src/relay_schema.rs
+++ b/crates/settings/src/relay_schema.rs
@@ -1,9 +1,17 @@
 //! Validation rules for the settings of a relay.
 
+use std::time::Duration;
+
+use crate::duration_unit::DurationUnit;
 use crate::schema::FieldSchema;
 use crate::schema::ValueSchema;
 use crate::schema::optional;
 use crate::schema::required;
+use crate::validate::REPLACE_UNUSABLE;
+use crate::validate::UNUSABLE_VALUES_FIELD;
+
+/// Shortest duration that a file may give. Intervals of zero length would keep the processor busy.
+const MIN_DURATION: Duration = Duration::from_millis(1);
 
 const REMOTE_ADDRESS: ValueSchema = ValueSchema::Address { allows_port_zero: false };
 
@@ -16,10 +24,29 @@
 const LIMITS: ValueSchema = ValueSchema::Record(&[
     optional("extra_ratio", ValueSchema::NonNegative),
     optional("extra_slack", ValueSchema::NonNegative),
-    optional("extra_window_s", ValueSchema::NonNegative),
+    optional("extra_window_s", EXTRA_WINDOW),
 ]);
 
-static FIELDS: [FieldSchema; 14] = [
+const EXTRA_WINDOW: ValueSchema = ValueSchema::Duration {
+    unit: DurationUnit::Seconds,
+    min: MIN_DURATION,
+    max: Duration::from_secs(24 * 60 * 60),
+};
+
+const CHANGE_TIME: ValueSchema = ValueSchema::Duration {
+    unit: DurationUnit::Milliseconds,
+    min: MIN_DURATION,
+    max: Duration::from_secs(600),
+};
+
+const STOP_GRACE: ValueSchema = ValueSchema::Duration {
+    unit: DurationUnit::Seconds,
+    min: MIN_DURATION,
+    // A process that has not exited after ten minutes is considered stuck.
+    max: Duration::from_secs(600),
+};
+
+static FIELDS: [FieldSchema; 15] = [
     required("host", ValueSchema::Name),
     required("domain", ValueSchema::Name),
     required("regions", ValueSchema::Map(&ValueSchema::Name)),
@@ -33,9 +60,9 @@
     optional("initial_start", ValueSchema::Boolean),
     optional("machine", MACHINE),
     optional("limits", LIMITS),
-    optional("change_time_ms", ValueSchema::Integer { min: 100, max: 600_000 }),
-    // A process that has not exited after ten minutes is considered stuck.
-    optional("stop_grace_s", ValueSchema::Integer { min: 1, max: 600 }),
+    optional("change_time_ms", CHANGE_TIME),
+    optional("stop_grace_s", STOP_GRACE),
+    optional(UNUSABLE_VALUES_FIELD, ValueSchema::Choice(&["reject", REPLACE_UNUSABLE])),
 ];
 
 /// Schema of a complete file of relay settings.
--- a/crates/settings/src/relay_settings.rs
+++ b/crates/settings/src/relay_settings.rs
@@ -8,7 +8,9 @@
 use serde::Serialize;
 use vanillapick_model::failure_domain::DomainId;
 use vanillapick_model::host::HostId;
-use vanillapick_model::millis;
+
+use crate::duration_unit::milliseconds;
+use crate::duration_unit::seconds;
 
 /// Settings of one relay host, which forwards requests to targets.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -43,11 +45,27 @@
     #[serde(default)]
     pub limits: SharedLimits,
     /// Time within which a change in the store must take effect.
-    #[serde(default = "default_change_time", rename = "change_time_ms", with = "millis")]
+    #[serde(default = "default_change_time", rename = "change_time_ms", with = "milliseconds")]
     pub change_time: Duration,
-    /// Seconds between SIGTERM and the kill by the platform; at least 1.
-    #[serde(default = "default_stop_grace")]
-    pub stop_grace_s: u64,
+    /// Time between SIGTERM and the kill by the platform.
+    #[serde(default = "default_stop_grace", rename = "stop_grace_s", with = "seconds")]
+    pub stop_grace: Duration,
+    /// How values are handled that the schema does not allow.
+    #[serde(default)]
+    pub unusable_values: UnusableValues,
+}
+
+/// How values of a file are handled that the schema does not allow.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum UnusableValues {
+    /// The file is invalid.
+    #[default]
+    Reject,
+    /// The nearest valid number is used in place of a number, and the default in place of `true`, `false`, `null` and of zero or
+    /// less where only a positive number makes sense. For files that a platform renders: a host that does not start is worse
+    /// than one with a default.
+    Replace,
 }
 
 /// Resources of the machine that runs a host.
@@ -76,13 +94,14 @@
     pub extra_ratio: f64,
     /// Attempts beyond the first that are allowed in a window regardless of the number of requests.
     pub extra_slack: f64,
-    /// Length of the window in seconds.
-    pub extra_window_s: f64,
+    /// Length of the window.
+    #[serde(rename = "extra_window_s", with = "seconds")]
+    pub extra_window: Duration,
 }
 
 impl Default for SharedLimits {
     fn default() -> Self {
-        Self { extra_ratio: 0.05, extra_slack: 0.0, extra_window_s: 10.0 }
+        Self { extra_ratio: 0.05, extra_slack: 0.0, extra_window: Duration::from_secs(10) }
     }
 }
 
@@ -90,13 +109,6 @@
     Duration::from_secs(3)
 }
 
-fn default_stop_grace() -> u64 {
-    10
-}
-
-impl RelaySettings {
-    /// Time between SIGTERM and the kill by the platform.
-    pub fn stop_grace(&self) -> Duration {
-        Duration::from_secs(self.stop_grace_s)
-    }
+fn default_stop_grace() -> Duration {
+    Duration::from_secs(10)
 }
--- a/crates/settings/src/scalar.rs
+++ b/crates/settings/src/scalar.rs
@@ -20,12 +20,22 @@
         }
         ValueSchema::Integer { min, max } => {
             let digits = node.as_number_lit().ok_or_else(wrong_type)?.value;
-            let is_whole = digits.trim_start_matches('-').bytes().all(|byte| byte.is_ascii_digit());
-            if !is_whole {
+            let has_fraction = |number: f64| number.is_finite() && number.fract() != 0.0;
+            if digits.parse::<f64>().is_ok_and(has_fraction) {
                 return Err(format!("{digits} is not a whole number"));
             }
-            match digits.parse::<u64>() {
-                Ok(number) if (*min..=*max).contains(&number) => Ok(Value::from(number)),
+            match parse_whole(digits) {
+                Some(number) if (*min..=*max).contains(&number) => Ok(Value::from(number)),
+                _ => Err(format!("{digits} is out of range")),
+            }
+        }
+        ValueSchema::Duration { unit, min, max } => {
+            let digits = node.as_number_lit().ok_or_else(wrong_type)?.value;
+            let duration = digits.parse::<f64>().ok().and_then(|count| unit.duration(count));
+            match duration {
+                Some(duration) if (*min..=*max).contains(&duration) => {
+                    Ok(Value::from(unit.count(duration)))
+                }
                 _ => Err(format!("{digits} is out of range")),
             }
         }
@@ -48,6 +58,42 @@
     }
 }
 
+/// Returns the valid value that is nearest to the number of an invalid node; `None` if the node is not a number, the schema does
+/// not describe one, or zero or less stands where only a positive number makes sense.
+pub(crate) fn nearest_value(node: &ast::Value<'_>, schema: &ValueSchema) -> Option<Value> {
+    let digits = node.as_number_lit()?.value;
+    let number = digits.parse::<f64>().ok()?;
+    let is_positive = match schema {
+        ValueSchema::Integer { min, .. } => 0 < *min,
+        ValueSchema::Duration { min, .. } => !min.is_zero(),
+        _ => false,
+    };
+    if is_positive && number <= 0.0 {
+        return None;
+    }
+    match schema {
+        // The cast rounds down and saturates.
+        ValueSchema::Integer { min, max } => Some(Value::from((number as u64).clamp(*min, *max))),
+        ValueSchema::Fraction => Some(Value::from(number.clamp(0.0, 1.0))),
+        ValueSchema::NonNegative => Some(Value::from(number.clamp(0.0, f64::MAX))),
+        ValueSchema::Duration { unit, min, max } => {
+            Some(Value::from(number.clamp(unit.count(*min), unit.count(*max))))
+        }
+        _ => None,
+    }
+}
+
+/// Parses a whole number, which may be written as a fraction or with an exponent, such as `6.0` or `1e1`.
+fn parse_whole(digits: &str) -> Option<u64> {
+    if let Ok(number) = digits.parse::<u64>() {
+        return Some(number);
+    }
+    let number = digits.parse::<f64>().ok().filter(|number| number.fract() == 0.0)?;
+    // Larger numbers with a fraction or an exponent are not exact.
+    const MAX_EXACT: f64 = (1_u64 << f64::MANTISSA_DIGITS) as f64;
+    (0.0..=MAX_EXACT).contains(&number).then_some(number as u64)
+}
+
 fn check_text(text: &str, schema: &ValueSchema) -> Result<(), String> {
     match schema {
         ValueSchema::Name if !is_name(text) => Err(format!("{text:?} is not a valid name")),
@@ -87,6 +133,7 @@
         ValueSchema::Name | ValueSchema::Text => Value::from("?"),
         ValueSchema::Integer { min, .. } => Value::from(*min),
         ValueSchema::Fraction | ValueSchema::NonNegative => Value::from(0.0),
+        ValueSchema::Duration { unit, min, .. } => Value::from(unit.count(*min)),
         ValueSchema::Boolean => Value::from(false),
         ValueSchema::Address { .. } => Value::from("127.0.0.1:1"),
         ValueSchema::Choice(words) => Value::from(words[0]),
--- a/crates/settings/src/schema.rs
+++ b/crates/settings/src/schema.rs
@@ -1,5 +1,9 @@
 //! Schemas of file contents, expressed as data so that a single traversal can report every error.
 
+use std::time::Duration;
+
+use crate::duration_unit::DurationUnit;
+
 /// Maximum length, in characters, of the name of a row, host, target or failure domain.
 const MAX_NAME_LENGTH: usize = 64;
 
@@ -16,6 +20,8 @@
     Fraction,
     /// A number greater than or equal to 0.
     NonNegative,
+    /// A duration from `min` to `max`, inclusive, as a whole or fractional number of `unit`.
+    Duration { unit: DurationUnit, min: Duration, max: Duration },
     /// `true` or `false`.
     Boolean,
     /// IP address and port. Port 0 is allowed only where the operating system may choose the port.
@@ -85,6 +91,10 @@
             }
             Self::Fraction => "write a number from 0 to 1".to_owned(),
             Self::NonNegative => "write a number of 0 or more, without quotes".to_owned(),
+            Self::Duration { unit, min, max } => {
+                let [min, max] = [min, max].map(|limit| unit.count(*limit));
+                format!("write a number of {unit} from {min} to {max}, without quotes")
+            }
             Self::Boolean => "write true or false, without quotes".to_owned(),
             Self::Address { allows_port_zero: true } => {
                 "write an IP address and a port, for example \"127.0.0.1:7400\"".to_owned()
--- a/crates/settings/src/validate.rs
+++ b/crates/settings/src/validate.rs
@@ -14,7 +14,9 @@
 use serde_json::Value;
 use vanillapick_model::table::TableFinding;
 
+use crate::finding::FindingReport;
 use crate::finding::SourceFinding;
+use crate::scalar::nearest_value;
 use crate::scalar::parse_scalar;
 use crate::scalar::placeholder_value;
 use crate::schema::FieldPresence;
@@ -26,6 +28,12 @@
 /// Field whose value selects the other fields of a [`ValueSchema::Tagged`] value.
 pub(crate) const TAG_FIELD: &str = "state";
 
+/// Field of a file with the way in which unusable values are handled.
+pub(crate) const UNUSABLE_VALUES_FIELD: &str = "unusable_values";
+
+/// Value of [`UNUSABLE_VALUES_FIELD`] with which unusable values of optional fields are replaced.
+pub(crate) const REPLACE_UNUSABLE: &str = "replace";
+
 /// Maximum edit distance at which a known field is suggested in place of an unknown one.
 const MAX_SUGGESTION_DISTANCE: usize = 3;
 
@@ -33,17 +41,31 @@
 pub(crate) struct FileValidation {
     source: Arc<NamedSource<String>>,
     findings: Vec<SourceFinding>,
+    /// Whether unusable values of optional fields are replaced.
+    replaces_unusable: bool,
+    /// Values that were replaced, and fields that were left out.
+    replaced: Vec<SourceFinding>,
     /// Source spans of all values, by place.
     spans: BTreeMap<String, Range<usize>>,
     /// Places with an invalid or missing value, used to suppress findings that only follow from it.
     invalid_places: Vec<String>,
 }
 
+/// What is used for a field that a file has.
+enum FieldValue {
+    AsWritten,
+    Replaced(Value),
+    /// Nothing, so that the deserializer supplies the default.
+    Default,
+}
+
 impl FileValidation {
     pub(crate) fn new(name: &str, text: &str) -> Self {
         Self {
             source: Arc::new(NamedSource::new(name, text.to_owned())),
             findings: Vec::new(),
+            replaces_unusable: false,
+            replaced: Vec::new(),
             spans: BTreeMap::new(),
             invalid_places: Vec::new(),
         }
@@ -53,6 +75,12 @@
         self.findings
     }
 
+    /// Takes the report on what was replaced, if anything was.
+    pub(crate) fn take_replaced(&mut self) -> Option<FindingReport> {
+        let replaced = std::mem::take(&mut self.replaced);
+        (!replaced.is_empty()).then(|| FindingReport::new(replaced))
+    }
+
     /// Validates the file. The returned value always matches the schema, since invalid parts are replaced by
     /// placeholders. Returns `None` if the file contains no value that can be parsed.
     pub(crate) fn validate(&mut self, schema: &'static ValueSchema) -> Option<Value> {
@@ -81,9 +109,35 @@
             );
             return None;
         };
+        self.replaces_unusable = replaces_unusable(&root, schema);
         Some(self.validate_value("", &root, schema))
     }
 
+    /// Replaces the value of an optional field if the file asks for that and the value is one that a platform writes for a number.
+    fn replace_unusable(
+        &mut self,
+        place: &str,
+        node: &ast::Value<'_>,
+        field: &FieldSchema,
+    ) -> FieldValue {
+        let is_of_platform = matches!(
+            node,
+            ast::Value::NumberLit(_) | ast::Value::BooleanLit(_) | ast::Value::NullKeyword(_)
+        );
+        let is_optional = field.presence == FieldPresence::Optional;
+        if !self.replaces_unusable || !is_optional || !is_of_platform {
+            return FieldValue::AsWritten;
+        }
+        let Err(label) = parse_scalar(node, &field.schema) else { return FieldValue::AsWritten };
+        let nearest = nearest_value(node, &field.schema);
+        let used = nearest.as_ref().map_or_else(|| "the default".to_owned(), Value::to_string);
+        let span = value_span(node);
+        let help = format!("{used} is used; {}", field.schema.help());
+        self.replaced.push(SourceFinding::new(&self.source, place, span.clone(), label, help));
+        self.spans.insert(place.to_owned(), span);
+        nearest.map_or(FieldValue::Default, FieldValue::Replaced)
+    }
+
     /// Adds a finding of a check on the typed value, unless it is a consequence of an earlier finding.
     pub(crate) fn add_check_finding(&mut self, finding: TableFinding) {
         let TableFinding { place, label, help } = finding;
@@ -215,14 +269,16 @@
             if tag.is_some() && name == TAG_FIELD {
                 continue;
             }
+            let key = join_place(place, name);
             let Some(field) = fields.iter().find(|field| field.name == name) else {
-                let label = format!("unknown field {name:?}");
-                let help = known_fields_help(name, fields);
-                self.push_finding(&join_place(place, name), node_span(&property.name), label, help);
+                self.add_unknown_field(&key, property, fields);
                 continue;
             };
-            let value =
-                self.validate_value(&join_place(place, name), &property.value, &field.schema);
+            let value = match self.replace_unusable(&key, &property.value, field) {
+                FieldValue::AsWritten => self.validate_value(&key, &property.value, &field.schema),
+                FieldValue::Replaced(value) => value,
+                FieldValue::Default => continue,
+            };
             map.insert(name.to_owned(), value);
         }
         for field in fields {
@@ -240,6 +296,23 @@
         Value::Object(map)
     }
 
+    fn add_unknown_field(
+        &mut self,
+        place: &str,
+        property: &ast::ObjectProp<'_>,
+        fields: &'static [FieldSchema],
+    ) {
+        let name = property.name.as_str();
+        let (span, label) = (node_span(&property.name), format!("unknown field {name:?}"));
+        let help = known_fields_help(name, fields);
+        if self.replaces_unusable {
+            let help = format!("it is left out; {help}");
+            self.replaced.push(SourceFinding::new(&self.source, place, span, label, help));
+        } else {
+            self.push_finding(place, span, label, help);
+        }
+    }
+
     fn add_duplicate(&mut self, place: &str, property: &ast::ObjectProp<'_>) {
         let name = property.name.as_str();
         let label = format!("{name:?} is defined twice");
@@ -256,6 +329,15 @@
     object.is_some_and(|object| object.get("routes").or(object.get("pools")).is_some())
 }
 
+/// Whether the schema has [`UNUSABLE_VALUES_FIELD`] and the file asks for replacements.
+fn replaces_unusable(root: &ast::Value<'_>, schema: &ValueSchema) -> bool {
+    let ValueSchema::Record(fields) = schema else { return false };
+    let is_known = fields.iter().any(|field| field.name == UNUSABLE_VALUES_FIELD);
+    let property = root.as_object().and_then(|object| object.get(UNUSABLE_VALUES_FIELD));
+    let word = property.and_then(|property| property.value.as_string_lit());
+    is_known && word.is_some_and(|word| word.value == REPLACE_UNUSABLE)
+}
+
 fn strict_options() -> ParseOptions {
     ParseOptions {
         allow_comments: true,
