Relay: a watch is checked by current reads, which alone prove that it is alive

Cause: a watch that was sent while the store was silent is never answered. The checks that should find that were stale reads; one with the known revision, or with one below it, counted as a proof that the watch is alive. The age of a stale read has no bound.

Change: a decision without I/O or clock (watch_supervisor) says when a check is due and up to which time its reply proves that all changes are known. Checks are linearizable. A watch that follows a failure is checked soon, one that saw a failed check is sent again. Hosts are current until the time for changes has passed since the last proof, and hosts that follow a peer inherit that.

--- a/crates/dispatch/src/change_source.rs
+++ b/crates/dispatch/src/change_source.rs
@@ -20,7 +20,7 @@
 
 /// Maximum time, in addition to the check interval, until hosts that share a stalled watch know of a change. If the
 /// store no longer responds to the watching host, this is the timeout of its check (1.5 s), its response to the peers
-/// (1 s) and a watch of their own. If only the watch has stalled, it is the age of a stale read (2 s) and a new watch.
+/// (1 s) and a watch of their own. If only the watch has stalled, it is a check and a new watch.
 const SHARED_WATCH_RECOVERY: Duration = Duration::from_secs(3);
 
 /// Minimum interval between checks of a shared watch. More frequent checks cost as much as the sharing saves.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -32,3 +32,4 @@
 pub mod target_state;
 pub mod unknown_route;
 pub mod version_split;
+pub mod watch_supervisor;
--- a/crates/relay/src/change_log.rs
+++ b/crates/relay/src/change_log.rs
@@ -42,8 +42,8 @@
     removals: usize,
     /// Every change after this revision is in `items` or was superseded by one that is. 0 before the first list.
     base: StoreRevision,
-    /// Time until which the store counts as reachable after its last reply to this host, or to the peer that forwards
-    /// changes to it. Without this limit, peers would trust a host forever whose store follower hangs.
+    /// Time until which what is known of the store counts as current, by the last proof that this host or the peer that
+    /// forwards changes to it has.
     confirmed_until: Duration,
     /// End of the grace period for registrations that expired while the store was unreachable.
     expiry_grace_until: Duration,
@@ -100,19 +100,20 @@
         changes
     }
 
-    /// Records a reply of the store, which confirms until this time that the store is reachable.
+    /// Records a proof that what is known of the store counts as current until this time.
     pub fn confirm_store_until(&self, until: Duration) {
-        self.lock().confirmed_until = until;
+        let mut state = self.lock();
+        state.confirmed_until = state.confirmed_until.max(until);
     }
 
-    /// Whether the store, or a peer that reaches it, has replied recently enough at `now`.
+    /// Whether what is known of the store counts as current at `now`.
     pub fn has_store(&self, now: Duration) -> bool {
         now < self.lock().confirmed_until
     }
 
     /// Records that the store does not reply.
     pub fn mark_store_lost(&self) {
-        self.confirm_store_until(Duration::ZERO);
+        self.lock().confirmed_until = Duration::ZERO;
     }
 
     /// Sets the end of the grace period for registrations that expired while the store was unreachable.
--- a/crates/relay/src/peer_changes.rs
+++ b/crates/relay/src/peer_changes.rs
@@ -32,6 +32,9 @@
 /// it is slow.
 pub(crate) const PEER_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// Time for which a reply confirms that the store is reachable and that its changes are known, which is until the next reply.
+pub(crate) const PEER_CONFIRMATION: Duration = PEER_WAIT.saturating_add(PEER_TIMEOUT);
+
 /// Path of the endpoint.
 const PATH: &str = "/changes";
 
@@ -67,6 +70,11 @@
         };
         let after = StorePosition { era, revision };
         let changes = host.changes.changes_after(after, PEER_WAIT, || host.now()).await;
+        let changes = changes.map(|changes| PeerChanges {
+            // The peer relies on this host until its next reply.
+            has_store: host.changes.has_store(host.now() + PEER_CONFIRMATION),
+            ..changes
+        });
         let Some(changes) = changes else {
             return Outcome::Error(Status::Gone);
         };
--- a/crates/relay/src/store_follower.rs
+++ b/crates/relay/src/store_follower.rs
@@ -6,6 +6,7 @@
 use std::time::SystemTime;
 
 use futures_util::future::BoxFuture;
+use futures_util::future::OptionFuture;
 use hyper::StatusCode;
 use vanillapick_dispatch::change_source::ChangeSource;
 use vanillapick_dispatch::change_source::ChangeSourceSelector;
@@ -15,14 +16,16 @@
 use vanillapick_dispatch::registry::StoreChange;
 use vanillapick_dispatch::registry::StoreRegistry;
 use vanillapick_dispatch::target_record::TargetId;
+use vanillapick_dispatch::watch_supervisor::WatchStep;
+use vanillapick_dispatch::watch_supervisor::WatchSupervisor;
 
 use crate::change_log::PeerChanges;
+use crate::peer_changes::PEER_CONFIRMATION;
 use crate::peer_changes::PEER_TIMEOUT;
 use crate::peer_changes::PEER_WAIT;
 use crate::peer_changes::changes_call;
 use crate::peer_changes::read_changes;
 use crate::relay_host::RelayHost;
-use crate::relay_server::STORE_TIMEOUT;
 use crate::request_flow::millis;
 use crate::store_client::StoreClient;
 use crate::store_client::StoreError;
@@ -35,9 +38,8 @@
 const WATCH_WAIT: Duration = Duration::from_secs(20);
 
 /// Interval between checks while a watch waits, as a fraction of the time within which a change must take effect. The
-/// store may stop replying to one host without closing its connections; then only a newer revision shows that a watch is
-/// dead. A check may read a state that is 3 s old. The platform allows for that: the time for a change to take effect
-/// starts only after the store has replied to the host steadily for some seconds.
+/// store may stop replying to a watch without closing its connection; then only a newer revision shows that it is dead. The rest
+/// of the time is for the reply to the check, [`WATCH_RETURN_GRACE`] and another watch.
 const CHECK_PERIOD_FRACTION: f64 = 0.66;
 
 /// Minimum interval between checks, however short the time for a change to take effect is.
@@ -87,6 +89,7 @@
         sources,
         requires_store: false,
         busy_since: Duration::ZERO,
+        proven_at: Duration::ZERO,
     };
     if follower.host.settings.initial_start {
         tokio::time::sleep(INITIAL_LIST_DELAY).await;
@@ -103,6 +106,13 @@
     }
 }
 
+/// How a watch ended.
+enum WatchEnd {
+    Returned(Result<PeerChanges, StoreError>),
+    /// It is given up, and this step follows.
+    Replaced(FollowStep),
+}
+
 struct StoreFollower {
     host: Arc<RelayHost>,
     store: StoreClient,
@@ -119,11 +129,14 @@
     requires_store: bool,
     /// When the changes that are being applied were received.
     busy_since: Duration,
+    /// Time up to which all changes are known, by the last proof of the store itself.
+    proven_at: Duration,
 }
 
 impl StoreFollower {
     async fn list(&mut self) -> Result<FollowStep, StoreError> {
         let wire = self.host.wire.store;
+        let asked = self.host.now();
         let mut items = Vec::new();
         let mut first_position: Option<StorePosition> = None;
         let mut after: Option<String> = None;
@@ -140,7 +153,7 @@
             items.extend(page.items);
             if !page.has_more || after.is_none() {
                 self.on_store_reply(self.host.now());
-                self.confirm_store();
+                self.confirm_store(asked);
                 let StorePosition { era, revision } = position;
                 tracing::info!(era, revision, items = items.len(), "store listed");
                 self.apply_complete(&items, position);
@@ -222,52 +235,9 @@
         if self.host.set_store_watch(source == ChangeSource::Store) {
             tracing::info!(?source, revision, "source of changes");
         }
-        let watch = self.start_watch(&source, position);
-        let mut watch = std::pin::pin!(watch);
-        // A peer checks its own watch, so changes that it forwards need no check here.
-        let check_period = match source {
-            ChangeSource::Store => self.check_period(),
-            ChangeSource::Peer(..) => WATCH_WAIT,
-        };
-        let mut is_suspect = false;
-        let changes = loop {
-            let now = self.host.now();
-            let expiry =
-                self.registry.next_expiry().map_or(WATCH_WAIT, |at| at.saturating_sub(now));
-            tokio::select! {
-                changes = watch.as_mut() => break changes,
-                // The watch continues, because a new call would be charged for again.
-                () = tokio::time::sleep(expiry) => {
-                    self.expire();
-                }
-                () = tokio::time::sleep(check_period) => {
-                    match self.check().await {
-                        // The reply may be older than the restore of the store.
-                        Ok(current) if current.era < position.era => {}
-                        Ok(current) if position.era < current.era => {
-                            return Ok(self.start_era(position, current.era));
-                        }
-                        Ok(current) if current > position || is_suspect => {
-                            let changes = tokio::time::timeout(WATCH_RETURN_GRACE, watch.as_mut()).await;
-                            if let Ok(changes) = changes {
-                                break changes;
-                            }
-                            let StorePosition { era, revision: current } = current;
-                            tracing::info!(revision, era, current, is_suspect, "watch is silent; restarting it");
-                            return Ok(WATCH_NOW);
-                        }
-                        Ok(_) => {
-                            self.confirm_store();
-                            self.check_silent_attempts();
-                        }
-                        Err(error) => {
-                            tracing::debug!(fault = %error, "store revision check failed");
-                            self.host.changes.mark_store_lost();
-                            is_suspect = true;
-                        }
-                    }
-                }
-            }
+        let changes = match self.await_changes(&source, position, asked).await {
+            WatchEnd::Returned(changes) => changes,
+            WatchEnd::Replaced(step) => return Ok(step),
         };
         if let ChangeSource::Peer(peer, _) = source {
             self.apply_peer_changes(peer, changes, position).await;
@@ -290,7 +260,11 @@
             return Ok(self.start_era(position, page.era));
         }
         self.on_store_reply(self.host.now());
-        self.confirm_store();
+        // A page with changes was made at some time after the call, and more may have followed it. One without was made at the end
+        // of the wait.
+        let now = self.host.now();
+        let is_whole_wait = page.items.is_empty() && asked + WATCH_WAIT <= now;
+        self.confirm_store(if is_whole_wait { asked + WATCH_WAIT } else { asked });
         self.requires_store = false;
         self.apply_changes(&page, position);
         let (now, max_delay) = (self.host.now(), self.max_change_delay());
@@ -300,6 +274,90 @@
         Ok(step)
     }
 
+    /// Waits until a watch that is sent at `asked` returns or has to be replaced. Checks the watch meanwhile.
+    async fn await_changes(
+        &mut self,
+        source: &ChangeSource,
+        position: StorePosition,
+        asked: Duration,
+    ) -> WatchEnd {
+        let mut watch = self.start_watch(source, position);
+        // A peer checks its own watch, so changes that it forwards need no check here.
+        let (check_period, proven_at) = match source {
+            ChangeSource::Store => (self.check_period(), self.proven_at),
+            ChangeSource::Peer(..) => (WATCH_WAIT, asked),
+        };
+        let mut supervisor =
+            WatchSupervisor::new(position, check_period, proven_at, self.is_store_lost, asked);
+        let mut check = OptionFuture::from(None);
+        let mut is_checking = false;
+        loop {
+            let now = self.host.now();
+            let expiry =
+                self.registry.next_expiry().map_or(WATCH_WAIT, |at| at.saturating_sub(now));
+            let check_delay = supervisor.next_check().saturating_sub(now);
+            // The watch continues meanwhile, because a new call would be charged for again.
+            tokio::select! {
+                changes = watch.as_mut() => return WatchEnd::Returned(changes),
+                () = tokio::time::sleep(expiry) => self.expire(),
+                () = tokio::time::sleep(check_delay), if !is_checking => {
+                    is_checking = true;
+                    check = OptionFuture::from(Some(self.start_check()));
+                }
+                Some((sent, reply)) = &mut check, if is_checking => {
+                    is_checking = false;
+                    let current = reply.as_ref().ok().copied();
+                    let step = supervisor.after_check(sent, current, self.host.now());
+                    if let Err(error) = &reply {
+                        tracing::debug!(fault = %error, "store revision check failed");
+                        self.host.changes.mark_store_lost();
+                    }
+                    match step {
+                        WatchStep::Keep { proven_at } => {
+                            self.confirm_store(proven_at);
+                            self.check_silent_attempts();
+                        }
+                        WatchStep::Unproven => {}
+                        WatchStep::Renew { .. } | WatchStep::Overdue | WatchStep::NewEra => {
+                            return self.replace_watch(watch, step, position, current).await;
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    /// Ends a watch after a check whose reply was `current`. An overdue one may still return.
+    async fn replace_watch(
+        &mut self,
+        mut watch: BoxFuture<'static, Result<PeerChanges, StoreError>>,
+        step: WatchStep,
+        position: StorePosition,
+        current: Option<StorePosition>,
+    ) -> WatchEnd {
+        let revision = position.revision;
+        let current = current.unwrap_or(position);
+        match step {
+            WatchStep::NewEra => return WatchEnd::Replaced(self.start_era(position, current.era)),
+            WatchStep::Renew { proven_at } => {
+                self.confirm_store(proven_at);
+                tracing::info!(revision, "watch may be silent since a check failed; restarting it");
+            }
+            WatchStep::Overdue | WatchStep::Keep { .. } | WatchStep::Unproven => {
+                let changes = tokio::time::timeout(WATCH_RETURN_GRACE, watch.as_mut()).await;
+                if let Ok(changes) = changes {
+                    return WatchEnd::Returned(changes);
+                }
+                tracing::info!(
+                    revision,
+                    current = current.revision,
+                    "watch is silent; restarting it"
+                );
+            }
+        }
+        WatchEnd::Replaced(WATCH_NOW)
+    }
+
     /// Has the store listed, because it is in a later era than the known position.
     fn start_era(&mut self, known: StorePosition, era: StoreEra) -> FollowStep {
         let revision = known.revision;
@@ -385,8 +443,8 @@
                 }
                 self.host.set_behind(false);
                 if changes.has_store {
-                    self.host.changes.confirm_store_until(now + PEER_WAIT + PEER_TIMEOUT);
-                } else if self.check().await.is_ok() {
+                    self.host.changes.confirm_store_until(now + PEER_CONFIRMATION);
+                } else if self.start_check().await.1.is_ok() {
                     // While the store is unreachable for all hosts, changing the source would not help.
                     tracing::info!(
                         peer = &*peer,
@@ -453,17 +511,21 @@
         }
     }
 
-    /// Records a reply of the store; the next one is expected within the check interval plus the timeout of a call.
-    fn confirm_store(&self) {
-        let until = self.host.now() + self.check_period() + STORE_TIMEOUT + WATCH_RETURN_GRACE;
-        self.host.changes.confirm_store_until(until);
+    /// Records that all changes up to `proven_at` are known. A later one need not be in force before the time for changes has
+    /// passed.
+    fn confirm_store(&mut self, proven_at: Duration) {
+        self.proven_at = self.proven_at.max(proven_at);
+        self.host.changes.confirm_store_until(proven_at + self.host.settings.change_time);
     }
 
-    async fn check(&self) -> Result<StorePosition, StoreError> {
-        let wire = self.host.wire.store;
-        let call = (wire.check)();
-        let (revision, era) = self.store.read_in_era(call, Duration::ZERO, wire.read_check).await?;
-        Ok(StorePosition { era, revision })
+    /// Asks for the position of the store; returns it with the time at which the call was sent.
+    fn start_check(&self) -> BoxFuture<'static, (Duration, Result<StorePosition, StoreError>)> {
+        let (store, wire) = (self.store.clone(), self.host.wire.store);
+        let sent = self.host.now();
+        Box::pin(async move {
+            let reply = store.read_in_era((wire.check)(), Duration::ZERO, wire.read_check).await;
+            (sent, reply.map(|(revision, era)| StorePosition { era, revision }))
+        })
     }
 
     /// Decodes an item. An error is logged, and the last valid value stays in force.
--- a/crates/relay/src/wire.rs
+++ b/crates/relay/src/wire.rs
@@ -121,7 +121,7 @@
     pub watch: fn(StoreRevision, Duration) -> StoreCall,
     /// Decodes the changes that a watch returned; their era is in the headers.
     pub read_watch: fn(&[u8]) -> Result<StorePage, String>,
-    /// Asks for the store's revision, which may be seconds old; cheaper than any other call.
+    /// Asks for the store's revision at the time of the call; the reply must not be stale.
     pub check: fn() -> StoreCall,
     /// Decodes the reply to a check, whether the item exists or not.
     pub read_check: fn(&[u8]) -> Result<StoreRevision, String>,
