Moves: the version in service and those rolled back are known by name, and last in the store

Before any order, targets of a version that sorts first took all requests (early_version, ROUTE).

Cause: the version in service was derived again in each view, from the last record and the number of targets. The record of the next order replaces the one that kept v10 out, and of equally common versions the label that sorts first was taken.

Change: pool_versions keeps the version in service, which only a completed move changes, and the versions that were rolled back. Both are written with each record in one transaction, and before the first order once targets of a second version appear. Hosts that start, and hosts of a restored store, find them there. An order for the version in service gives it all requests.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod host_record;
 pub mod host_quota;
 pub mod pool_state;
+pub mod pool_versions;
 pub mod registry;
 pub mod request_limit;
 pub mod route_table;
--- a/crates/dispatch/src/registry.rs
+++ b/crates/dispatch/src/registry.rs
@@ -19,6 +19,10 @@
 use crate::host_record::HostRecord;
 use crate::pool_state::PoolState;
 use crate::pool_state::RouteState;
+use crate::pool_versions::DueVersions;
+use crate::pool_versions::PoolVersions;
+use crate::pool_versions::VersionsByPool;
+use crate::pool_versions::has_several_versions;
 use crate::retry_budget::RetryBudgetLimits;
 use crate::route_table::RouteTable;
 use crate::serving_view::PoolView;
@@ -77,6 +81,8 @@
     MoveOrder(PoolId, Option<MoveOrder>, StoreRevision),
     /// A host recorded the state of a move at this store revision.
     MoveRecord(PoolId, MoveRecord, StoreRevision),
+    /// A host wrote what is known of the versions of a pool, at this store revision; `None` if that was removed.
+    PoolVersions(PoolId, Option<PoolVersions>, StoreRevision),
     /// Encoded evidence of a host on a move; `None` if it was removed.
     MoveEvidence(PoolId, EvidenceKey, Option<Vec<u8>>),
     /// A host marked a request as crashing targets; `None` if the store has no mark of it any more, which says nothing about
@@ -171,6 +177,11 @@
     /// Hosts that are no longer registered, with their last record and the time until which they count.
     gone_hosts: BTreeMap<HostId, (HostRecord, Duration)>,
     moves: PoolMoves,
+    versions: VersionsByPool,
+    /// Versions as the store has them, with the revision of the item.
+    stored_versions: BTreeMap<PoolId, (PoolVersions, StoreRevision)>,
+    /// Pools with usable targets of several versions, by the last view.
+    mixed_pools: BTreeSet<PoolId>,
     pools: HashMap<PoolId, Arc<PoolState>>,
     routes: HashMap<Arc<str>, Arc<RouteState>>,
     /// Registrations that are removed before this time may be written again.
@@ -197,6 +208,9 @@
             hosts: BTreeMap::new(),
             gone_hosts: BTreeMap::new(),
             moves: PoolMoves::new(),
+            versions: VersionsByPool::new(),
+            stored_versions: BTreeMap::new(),
+            mixed_pools: BTreeSet::new(),
             pools: HashMap::new(),
             routes: HashMap::new(),
             expiry_grace_until: Duration::ZERO,
@@ -242,6 +256,72 @@
         is_changed
     }
 
+    /// Applies the last record of a pool to its versions, unless they were written later; returns whether they change.
+    fn apply_record_to_versions(&mut self, pool: &PoolId) -> bool {
+        let Some(pool_move) = self.moves.get(pool) else { return false };
+        let Some(record) = &pool_move.record else { return false };
+        let stored = self.stored_versions.get(pool).map_or(0, |(_, revision)| *revision);
+        if pool_move.stored.as_ref() != Some(record) || pool_move.record_revision < stored {
+            return false;
+        }
+        let versions = self.versions.entry(Arc::clone(pool)).or_default();
+        let before = versions.clone();
+        versions.record_end(record);
+        *versions != before
+    }
+
+    /// Applies the versions of a pool as another host has written them; returns whether that changes any. What this host knows
+    /// stays while the store may lack what was written before it was restored.
+    fn apply_versions(
+        &mut self,
+        pool: PoolId,
+        versions: Option<PoolVersions>,
+        revision: StoreRevision,
+        now: Duration,
+    ) -> bool {
+        let Some(written) = versions else {
+            self.stored_versions.remove(&pool);
+            return false;
+        };
+        self.stored_versions.insert(Arc::clone(&pool), (written.clone(), revision));
+        let known = self.versions.entry(Arc::clone(&pool)).or_default();
+        let is_restoring = now < self.restoring_until;
+        if is_restoring && known.in_service.is_some() {
+            return false;
+        }
+        let before = known.clone();
+        known.adopt(written);
+        self.apply_record_to_versions(&pool);
+        self.versions.get(&pool) != Some(&before)
+    }
+
+    /// Versions of the pools that have orders or records of moves.
+    pub fn move_versions(&self) -> VersionsByPool {
+        let versions = self.versions.iter().filter(|(pool, _)| self.moves.contains_key(*pool));
+        versions.map(|(pool, versions)| (Arc::clone(pool), versions.clone())).collect()
+    }
+
+    /// Versions that the store lacks or has otherwise. Those of a pool with targets of one version need not be written: a host that
+    /// starts sees them.
+    pub fn due_versions(&self) -> Vec<DueVersions> {
+        let pools = self.stored_versions.keys().chain(&self.mixed_pools);
+        let pools: BTreeSet<&PoolId> = pools.collect();
+        let due = pools.into_iter().filter_map(|pool| {
+            let versions = self.versions.get(pool)?;
+            if versions.in_service.is_none() || versions.is_guess {
+                return None;
+            }
+            let stored = self.stored_versions.get(pool);
+            let is_stored = stored.is_some_and(|(stored, _)| stored == versions);
+            (!is_stored).then(|| DueVersions {
+                pool: Arc::clone(pool),
+                versions: versions.clone(),
+                revision: stored.map_or(0, |(_, revision)| *revision),
+            })
+        });
+        due.collect()
+    }
+
     /// Has repeated orders wait while a live host does not tell them from the earlier ones; returns whether that changes any.
     fn update_holds(&mut self) -> bool {
         let is_known = || self.hosts.values().all(|host| host.knows_order_ids);
@@ -291,7 +371,11 @@
             StoreChange::MoveRecord(pool, record, revision) => {
                 let is_changed =
                     self.apply_to_move(&pool, |pool_move| pool_move.apply_record(record, revision));
-                self.update_holds() || is_changed
+                let is_moved = self.apply_record_to_versions(&pool);
+                self.update_holds() || is_changed || is_moved
+            }
+            StoreChange::PoolVersions(pool, versions, revision) => {
+                self.apply_versions(pool, versions, revision, now)
             }
             // The caller handles evidence and crash marks.
             StoreChange::MoveEvidence(..)
@@ -337,6 +421,7 @@
     pub fn apply_restored_list(&mut self, changes: Vec<StoreChange>, now: Duration) {
         self.mark_store_recovered(now);
         self.moves.values_mut().for_each(PoolMove::forget_stored);
+        self.stored_versions.clear();
         let due = now + EXPIRY_GRACE;
         self.restoring_until = due;
         let mut missing: BTreeMap<PendingKey, StoreChange> = BTreeMap::new();
@@ -464,9 +549,15 @@
             }
         }
         let no_move = PoolMove::default();
+        self.mixed_pools.clear();
         for (id, pool) in &mut pools {
             let pool_move = self.moves.get(id).unwrap_or(&no_move);
-            pool.version_split = pool_move.retain_usable(&mut pool.targets);
+            if has_several_versions(&pool.targets) {
+                self.mixed_pools.insert(Arc::clone(id));
+            }
+            let versions = self.versions.entry(Arc::clone(id)).or_default();
+            versions.observe(&pool.targets, pool_move.active_order().map(|order| &order.version));
+            pool.version_split = pool_move.retain_usable(versions, &mut pool.targets);
         }
         for route in &config.routes {
             self.routes.entry(Arc::clone(&route.id)).or_default();
@@ -580,6 +671,7 @@
             Self::MoveOrder(pool, ..) => Some(PendingKey::MoveOrder(Arc::clone(pool))),
             Self::Config(_)
             | Self::MoveRecord(..)
+            | Self::PoolVersions(..)
             | Self::MoveEvidence(..)
             | Self::CrashMark(..)
             | Self::ClearedMark(..)
--- a/crates/dispatch/src/version_split.rs
+++ b/crates/dispatch/src/version_split.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use crate::config_document::PoolId;
+use crate::pool_versions::PoolVersions;
 use crate::store_position::StorePosition;
 use crate::store_position::StoreRevision;
 use crate::target_record::TargetVersion;
@@ -218,35 +219,22 @@
     }
 
     /// Removes targets that must not get requests; returns how requests are divided among the remaining ones.
-    pub(crate) fn retain_usable(&self, targets: &mut Vec<Arc<TargetState>>) -> VersionSplit {
-        let has_version =
-            |target: &Arc<TargetState>, version: &str| *target.record.version == *version;
+    pub(crate) fn retain_usable(
+        &self,
+        versions: &PoolVersions,
+        targets: &mut Vec<Arc<TargetState>>,
+    ) -> VersionSplit {
         let moving = self.active_order().map(|order| &order.version);
-        let mut others: Vec<Arc<TargetState>> = targets.clone();
-        if let Some(version) = moving {
-            others.retain(|target| !has_version(target, version));
-        }
-        match &self.record {
-            Some(MoveRecord { version, state: MoveRecordState::Completed })
-                if others.iter().any(|target| has_version(target, version)) =>
-            {
-                others.retain(|target| has_version(target, version));
-            }
-            Some(MoveRecord { version, state: MoveRecordState::RolledBack }) => {
-                others.retain(|target| !has_version(target, version));
-                retain_majority_version(&mut others);
-            }
-            _ => retain_majority_version(&mut others),
-        }
+        let mut others = targets.clone();
+        others.retain(|target| Some(&target.record.version) != moving);
+        versions.retain_serving(&mut others);
         let Some(version) = moving else {
             *targets = others;
             return VersionSplit::Single;
         };
-        targets.retain(|target| has_version(target, version));
-        let is_there = self.record.as_ref().is_some_and(|record| {
-            record.version == *version && record.state == MoveRecordState::Completed
-        });
-        if others.is_empty() && is_there {
+        targets.retain(|target| target.record.version == *version);
+        let is_there = versions.in_service.as_ref() == Some(version);
+        if is_there && (!targets.is_empty() || others.is_empty()) {
             return VersionSplit::Single;
         }
         targets.append(&mut others);
@@ -256,16 +244,3 @@
 
 /// Move orders and records of all pools that have any.
 pub type PoolMoves = BTreeMap<PoolId, PoolMove>;
-
-/// Keeps the targets of the most common version. Other versions get no requests until the operators move the pool.
-fn retain_majority_version(targets: &mut Vec<Arc<TargetState>>) {
-    let mut counts: BTreeMap<TargetVersion, usize> = BTreeMap::new();
-    for target in targets.iter() {
-        *counts.entry(Arc::clone(&target.record.version)).or_default() += 1;
-    }
-    let max = counts.values().max().copied().unwrap_or(0);
-    let majority = counts.into_iter().find(|(_, count)| *count == max);
-    if let Some((version, _)) = majority {
-        targets.retain(|target| target.record.version == version);
-    }
-}
--- a/crates/relay/src/move_tracker.rs
+++ b/crates/relay/src/move_tracker.rs
@@ -16,6 +16,9 @@
 use serde::Serialize;
 use vanillapick_dispatch::attempt::AttemptOutcome;
 use vanillapick_dispatch::config_document::PoolId;
+use vanillapick_dispatch::pool_versions::DueVersions;
+use vanillapick_dispatch::pool_versions::PoolVersions;
+use vanillapick_dispatch::pool_versions::VersionsByPool;
 use vanillapick_dispatch::registry::EvidenceKey;
 use vanillapick_dispatch::target_state::TargetState;
 use vanillapick_dispatch::version_split::MoveOrder;
@@ -41,6 +44,7 @@
 use crate::store_client::StoreClient;
 use crate::store_client::StoreError;
 use crate::wire::MoveRevisions;
+use crate::wire::StoreCall;
 use crate::wire::StorePosition;
 
 /// Interval between updates of the traffic shares.
@@ -67,9 +71,13 @@
 struct StoredMoves {
     /// Orders and records.
     moves: PoolMoves,
+    /// What is written together with the next record of a pool.
+    versions: VersionsByPool,
+    /// Versions that the store lacks.
+    due_versions: Vec<DueVersions>,
     /// Items of evidence, with the order that each is about; `None` if an earlier build of the program has written it.
     evidence: BTreeMap<(PoolId, EvidenceKey), Option<OrderId>>,
-    /// Whether this host removes outdated evidence.
+    /// Whether this host removes outdated evidence and writes the versions that the store lacks.
     is_remover: bool,
 }
 
@@ -78,10 +86,28 @@
     fn lost_records(&self) -> impl Iterator<Item = MoveWrite> {
         self.moves.iter().filter_map(|(pool, pool_move)| {
             let record = pool_move.lost_record()?.clone();
-            Some(MoveWrite::Record(Arc::clone(pool), record, revisions(pool_move)))
+            Some(self.record_write(pool, record, revisions(pool_move)))
         })
     }
 
+    /// Write of a record with the versions of the pool after it.
+    fn record_write(
+        &self,
+        pool: &PoolId,
+        record: MoveRecord,
+        revisions: MoveRevisions,
+    ) -> MoveWrite {
+        let mut versions = self.versions.get(pool).cloned().unwrap_or_default();
+        versions.record_end(&record);
+        MoveWrite::Record(Arc::clone(pool), record, versions.without_guess(), revisions)
+    }
+
+    /// Write of the versions of one pool that the store lacks, if this host cleans up for all.
+    fn lost_versions(&self) -> Option<MoveWrite> {
+        let due = self.due_versions.first().filter(|_| self.is_remover)?;
+        Some(MoveWrite::Versions(due.clone()))
+    }
+
     /// Removal of outdated items of one pool, if this host removes them.
     fn outdated_evidence(&self) -> Option<MoveWrite> {
         if !self.is_remover {
@@ -124,10 +150,17 @@
 impl MoveTracker {
     /// Starts and ends tracking according to the move orders and records in the store. `wall` is the start time of new
     /// moves. One host, the `is_remover`, removes the evidence about earlier orders.
-    pub(crate) fn set_moves(&self, moves: &PoolMoves, is_remover: bool, wall: SystemTime) {
+    pub(crate) fn set_moves(
+        &self,
+        moves: &PoolMoves,
+        versions: VersionsByPool,
+        is_remover: bool,
+        wall: SystemTime,
+    ) {
         {
             let mut stored = self.stored();
             stored.moves = moves.clone();
+            stored.versions = versions;
             stored.is_remover = is_remover;
         }
         let mut moves_by_pool = self.moves();
@@ -151,6 +184,11 @@
         }
     }
 
+    /// Sets the versions of pools that the store lacks.
+    pub(crate) fn set_due_versions(&self, due: Vec<DueVersions>) {
+        self.stored().due_versions = due;
+    }
+
     /// Records the result of an attempt as evidence if the pool of its target is moving.
     pub(crate) fn record_attempt(
         &self,
@@ -263,7 +301,8 @@
 /// Pending write to the store.
 enum MoveWrite {
     Evidence(PoolId, Vec<u8>),
-    Record(PoolId, MoveRecord, MoveRevisions),
+    Record(PoolId, MoveRecord, PoolVersions, MoveRevisions),
+    Versions(DueVersions),
     Removal(PoolId, Vec<EvidenceKey>),
 }
 
@@ -290,6 +329,7 @@
     if writes_due {
         let stored = host.moves.stored();
         writes.extend(stored.lost_records());
+        writes.extend(stored.lost_versions());
         writes.extend(stored.outdated_evidence());
     }
     for (pool, tracked) in host.moves.moves().iter_mut() {
@@ -320,7 +360,7 @@
         }
         if let Some(record) = tracked.pool_move.due_record(state) {
             let revisions = revisions(&tracked.pool_move);
-            writes.push(MoveWrite::Record(Arc::clone(pool), record, revisions));
+            writes.push(host.moves.stored().record_write(pool, record, revisions));
         }
     }
     writes
@@ -370,21 +410,33 @@
                 stored.evidence.remove(&(Arc::clone(&pool), source));
             }
         }
-        MoveWrite::Record(pool, record, revisions) => {
-            let call = (wire.record_move)(&pool, &record, revisions);
-            match store.send(call, Duration::ZERO).await {
-                Ok(_) => {
-                    tracing::info!(pool = &*pool, version = &*record.version, state = ?record.state, "move recorded")
-                }
-                // Another host has written the record, or operators the order; the watch brings what has changed.
-                Err(error) if error.has_status(hyper::StatusCode::PRECONDITION_FAILED) => {}
-                Err(error) => return Err(error),
+        MoveWrite::Record(pool, record, versions, revisions) => {
+            let call = (wire.record_move)(&pool, &record, &versions, revisions);
+            if send_if_unchanged(store, call).await? {
+                tracing::info!(pool = &*pool, version = &*record.version, state = ?record.state, "move recorded");
+            }
+        }
+        MoveWrite::Versions(DueVersions { pool, versions, revision }) => {
+            let call = (wire.put_versions)(&pool, &versions, revision);
+            if send_if_unchanged(store, call).await? {
+                let version = versions.in_service.as_deref();
+                tracing::info!(pool = &*pool, version, "version in service recorded");
             }
         }
     }
     Ok(())
 }
 
+/// Sends a write with conditions; returns whether they held. Otherwise another host has written, or operators the order, and the
+/// watch brings what has changed.
+async fn send_if_unchanged(store: &StoreClient, call: StoreCall) -> Result<bool, StoreError> {
+    match store.send(call, Duration::ZERO).await {
+        Ok(_) => Ok(true),
+        Err(error) if error.has_status(hyper::StatusCode::PRECONDITION_FAILED) => Ok(false),
+        Err(error) => Err(error),
+    }
+}
+
 fn revisions(pool_move: &PoolMove) -> MoveRevisions {
     MoveRevisions { record: pool_move.record_revision, order: pool_move.order_revision() }
 }
--- a/crates/relay/src/store_follower.rs
+++ b/crates/relay/src/store_follower.rs
@@ -551,8 +551,10 @@
             // Moves wait for hosts of earlier builds, and one of the hosts removes outdated evidence.
             change @ (StoreChange::MoveOrder(..)
             | StoreChange::MoveRecord(..)
+            | StoreChange::PoolVersions(..)
             | StoreChange::Host(..)) => {
                 let is_changed = self.registry.apply(change, now);
+                self.host.moves.set_due_versions(self.registry.due_versions());
                 self.set_moves();
                 is_changed
             }
@@ -563,11 +565,17 @@
     fn set_moves(&self) {
         let first = self.registry.hosts().keys().next();
         let is_remover = first.is_some_and(|host| **host == *self.host.settings.host);
-        self.host.moves.set_moves(self.registry.moves(), is_remover, SystemTime::now());
+        let versions = self.registry.move_versions();
+        self.host.moves.set_moves(self.registry.moves(), versions, is_remover, SystemTime::now());
     }
 
     fn install(&mut self) {
         install(&self.host, &mut self.registry, self.host.now().saturating_sub(self.busy_since));
+        self.host.moves.set_due_versions(self.registry.due_versions());
+        // The first view after an order tells which version it replaces.
+        if !self.registry.moves().is_empty() {
+            self.set_moves();
+        }
     }
 
     fn on_store_reply(&mut self, now: Duration) {
--- a/crates/relay/src/wire.rs
+++ b/crates/relay/src/wire.rs
@@ -12,6 +12,7 @@
 use vanillapick_dispatch::attempt::NotRunCause;
 use vanillapick_dispatch::crash_guard::CrashMark;
 use vanillapick_dispatch::host_record::HostRecord;
+use vanillapick_dispatch::pool_versions::PoolVersions;
 use vanillapick_dispatch::registry::EvidenceKey;
 use vanillapick_dispatch::registry::StoreChange;
 pub use vanillapick_dispatch::store_position::StoreEra;
@@ -146,8 +147,11 @@
     pub put_evidence: fn(&str, &str, &[u8]) -> StoreCall,
     /// Removes the evidence that these sources have written about moves of a pool.
     pub remove_evidence: fn(&str, &[EvidenceKey]) -> StoreCall,
-    /// Records the state of a pool's move if the record and the order are still at these revisions; 0 if one must not exist.
-    pub record_move: fn(&str, &MoveRecord, MoveRevisions) -> StoreCall,
+    /// Records the state of a pool's move, and the versions of the pool after it, if the record and the order are still at these
+    /// revisions; 0 if one must not exist.
+    pub record_move: fn(&str, &MoveRecord, &PoolVersions, MoveRevisions) -> StoreCall,
+    /// Writes the versions of a pool if they are still at this revision; 0 if there must be none.
+    pub put_versions: fn(&str, &PoolVersions, StoreRevision) -> StoreCall,
 }
 
 /// Revisions of the documents about the move of a pool; 0 for one that does not exist.
