Relay: a malformed reply is no evidence of a crash

But every caller of a request that many send got 503 "the request crashes targets" while one of two targets replied to it so.

Cause: hyper rejects the head of such a reply, and an exchange without a reply counted as a lost connection, which is the evidence of crashing requests.

Change: an exchange that ends because the reply cannot be parsed is Malformed. It counts as a lost attempt for the target's statistics and for a move, as before, but not as a crash; a counter tells how many there were.

--- a/crates/relay/src/forward_client.rs
+++ b/crates/relay/src/forward_client.rs
@@ -186,7 +186,9 @@
                 let detail = "the host closed the connection".to_owned();
                 return Err(ForwardFailure::NotStarted(detail));
             }
-            Err(ExchangeError::Lost(detail)) => return Err(ForwardFailure::Lost(detail)),
+            Err(ExchangeError::Lost(detail) | ExchangeError::Malformed(detail)) => {
+                return Err(ForwardFailure::Lost(detail));
+            }
         };
         if response.status() != StatusCode::OK {
             // Hosts of earlier versions do not know the endpoint.
--- a/crates/relay/src/kept_connection.rs
+++ b/crates/relay/src/kept_connection.rs
@@ -79,6 +79,8 @@
     Unsent,
     /// The request may have reached the target.
     Lost(String),
+    /// The target has replied with bytes that are no answer in HTTP, so it is alive, and may have run the request.
+    Malformed(String),
 }
 
 impl KeptConnection {
@@ -157,7 +159,7 @@
             Some(Ok(response)) => Ok(response),
             Some(Err(mut error)) => match error.take_message() {
                 Some(_) => Err(ExchangeError::Unsent),
-                None => Err(ExchangeError::Lost(error.into_error().to_string())),
+                None => Err(failed_exchange(&error.into_error())),
             },
             None => Err(ExchangeError::Lost("the connection closed before the reply".to_owned())),
         }
@@ -213,6 +215,15 @@
     }
 }
 
+/// What an error of the connection says about a request that was written.
+fn failed_exchange(error: &hyper::Error) -> ExchangeError {
+    if error.is_parse() {
+        count_rejected_reply("malformed");
+        return ExchangeError::Malformed(error.to_string());
+    }
+    ExchangeError::Lost(error.to_string())
+}
+
 fn count_rejected_reply(reason: &'static str) {
     metrics::counter!("vanillapick_replies_rejected_total", "reason" => reason).increment(1);
 }
--- a/crates/relay/src/part_peers.rs
+++ b/crates/relay/src/part_peers.rs
@@ -199,7 +199,9 @@
                 Ok(response) => response,
                 Err(ExchangeError::Unsent) if !is_new => continue,
                 Err(ExchangeError::Unsent) => return Err("the host closed the connection".into()),
-                Err(ExchangeError::Lost(detail)) => return Err(detail),
+                Err(ExchangeError::Lost(detail) | ExchangeError::Malformed(detail)) => {
+                    return Err(detail);
+                }
             };
             let status = response.status();
             connection.allow(MAX_IGNORED_BYTES);
--- a/crates/relay/src/parts_client.rs
+++ b/crates/relay/src/parts_client.rs
@@ -165,7 +165,9 @@
             Err(ExchangeError::Unsent) => {
                 return Err(GroupFailure::NotStarted("the host closed the connection".into()));
             }
-            Err(ExchangeError::Lost(detail)) => return Err(GroupFailure::Lost(detail)),
+            Err(ExchangeError::Lost(detail) | ExchangeError::Malformed(detail)) => {
+                return Err(GroupFailure::Lost(detail));
+            }
         };
         if response.status() != StatusCode::OK {
             let status = response.status();
--- a/crates/relay/src/target_attempt.rs
+++ b/crates/relay/src/target_attempt.rs
@@ -160,7 +160,7 @@
             }
             let outcome = match error {
                 CallError::Unreachable { .. } => AttemptOutcome::NotRun(NotRunCause::Unreachable),
-                CallError::Lost { .. } => AttemptOutcome::Lost,
+                CallError::Lost { .. } | CallError::Malformed { .. } => AttemptOutcome::Lost,
                 CallError::Withdrawn => AttemptOutcome::NotRun(NotRunCause::Withdrawn),
             };
             return ended(outcome, None, Some(error.to_string()));
--- a/crates/relay/src/target_connections.rs
+++ b/crates/relay/src/target_connections.rs
@@ -78,6 +78,12 @@
         /// Message of the network layer.
         detail: String,
     },
+    /// The request may have run at the target, whose reply is no answer.
+    #[display("malformed reply: {detail}")]
+    Malformed {
+        /// Message of the decoder.
+        detail: String,
+    },
     /// The request was over before a connection was available, so it was not sent.
     #[display("the request was over before it could be sent")]
     Withdrawn,
@@ -160,6 +166,9 @@
                     });
                 }
                 Err(ExchangeError::Lost(detail)) => return Err(CallError::Lost { detail }),
+                Err(ExchangeError::Malformed(detail)) => {
+                    return Err(CallError::Malformed { detail });
+                }
             }
         }
     }
