Moves: a move that the new version has not answered is taken back, and cuts nothing meanwhile

Cause: attempts that cannot be made are no evidence, and the steps of a move also begin by time.

Change: while the ordered version has no usable target, the version in service gets all requests. A step begins by time only if the new version has answered, or if fewer than five requests were to be expected at it; at its end such a move is taken back, with the reason in the log. Services with few requests move by time as before.

--- a/crates/dispatch/src/serving_view.rs
+++ b/crates/dispatch/src/serving_view.rs
@@ -53,3 +53,10 @@
     /// Division of requests between versions while the pool moves.
     pub version_split: VersionSplit,
 }
+
+impl PoolView {
+    /// Whether a target of this version accepts requests.
+    pub fn has_version(&self, version: &str) -> bool {
+        self.targets.iter().any(|target| *target.record.version == *version)
+    }
+}
--- a/crates/dispatch/src/version_split.rs
+++ b/crates/dispatch/src/version_split.rs
@@ -233,8 +233,12 @@
             return VersionSplit::Single;
         };
         targets.retain(|target| target.record.version == *version);
+        if targets.is_empty() {
+            *targets = others;
+            return VersionSplit::Single;
+        }
         let is_there = versions.in_service.as_ref() == Some(version);
-        if is_there && (!targets.is_empty() || others.is_empty()) {
+        if is_there {
             return VersionSplit::Single;
         }
         targets.append(&mut others);
--- a/crates/policy/src/version_move.rs
+++ b/crates/policy/src/version_move.rs
@@ -46,6 +46,12 @@
 /// Fraction of the time from start to finish-by after which a move at full share is done.
 pub const DONE_FRACTION: f64 = 0.95;
 
+/// Time for which a move that grows by time alone is at full share before it is done, as a fraction of the time before.
+const FULL_SHARE_TIME_RATIO: f64 = {
+    let last_step = MOVE_STEPS[MOVE_STEPS.len() - 1];
+    (DONE_FRACTION - last_step.latest) / last_step.latest
+};
+
 /// Number of time buckets between start and finish-by.
 pub const BUCKETS_PER_MOVE: u32 = 200;
 
@@ -67,6 +73,13 @@
 /// Failure share of the old version from which an outright failure of the new version is not held against it.
 const MAX_OLD_FAILURE_SHARE: f64 = 0.5;
 
+/// Expected number of requests at the new version without any answer from which it is not sent a larger share, and not taken for
+/// done. With fewer, a service may simply have too few requests to learn anything.
+const MIN_EXPECTED_REQUESTS: f64 = 5.0;
+
+/// Reason to take a move back that has had no answer from the new version until its end.
+const UNANSWERED: &str = "the new version has not answered any request";
+
 /// Minimum number of requests at the old version for which its share of bad requests is taken from the same window.
 const MIN_OLD_REQUESTS: u64 = 50;
 
@@ -129,7 +142,7 @@
 pub fn move_status(row: &MoveRow, wall: SystemTime, evidence: &MoveEvidence) -> MoveStatus {
     let total = evidence.total();
     let elapsed = elapsed_fraction(row, wall);
-    let step = elapsed.map(|elapsed| current_step(elapsed, &total.new));
+    let step = elapsed.map(|elapsed| current_step(elapsed, &total));
     let thin_evidence = step.is_some_and(|step| total.new.requests < step.requests);
     let suffix = if thin_evidence { "; thin evidence" } else { "" };
     let summary = format!("new {}; old {}{suffix}", summarize(&total.new), summarize(&total.old));
@@ -147,7 +160,13 @@
         return MoveStatus { share: 1.0, thin_evidence, summary, decision: MoveDecision::Done };
     }
     let share = step.map_or(0.0, |step| step.share);
-    let is_done = share >= 1.0 && elapsed.is_some_and(|elapsed| elapsed >= DONE_FRACTION);
+    if elapsed.is_some_and(|elapsed| 1.0 <= elapsed) && is_unanswered(&total, share) {
+        let decision = MoveDecision::TakenBack(UNANSWERED.to_owned());
+        return MoveStatus { share: 0.0, thin_evidence, summary, decision };
+    }
+    let is_done = share >= 1.0
+        && elapsed.is_some_and(|elapsed| elapsed >= DONE_FRACTION)
+        && !is_unanswered(&total, share);
     let decision = if is_done { MoveDecision::Done } else { MoveDecision::Running };
     MoveStatus { share, thin_evidence, summary, decision }
 }
@@ -186,12 +205,25 @@
     Some(elapsed.as_secs_f64() / total_duration(row).as_secs_f64())
 }
 
-fn current_step(elapsed: f64, new: &VersionCounts) -> MoveStep {
-    let has_begun = |step: &&MoveStep| {
-        let by_evidence = elapsed >= step.earliest && new.requests >= step.requests;
-        by_evidence || elapsed >= step.latest
-    };
-    MOVE_STEPS.iter().rev().find(has_begun).copied().unwrap_or(MOVE_STEPS[0])
+fn current_step(elapsed: f64, total: &PairCounts) -> MoveStep {
+    let mut current = MOVE_STEPS[0];
+    for step in &MOVE_STEPS[1..] {
+        let by_evidence = elapsed >= step.earliest && total.new.requests >= step.requests;
+        let by_time = elapsed >= step.latest && !is_unanswered(total, current.share);
+        if !by_evidence && !by_time {
+            break;
+        }
+        current = *step;
+    }
+    current
+}
+
+/// Whether the new version has answered nothing, although at this share of the requests some answers were to be expected.
+fn is_unanswered(total: &PairCounts, share: f64) -> bool {
+    let answers = total.new.requests.saturating_sub(total.new.failures);
+    // At full share the old version gets no more requests, so the expected number follows from the time of the last step.
+    let ratio = if share < 1.0 { share / (1.0 - share) } else { FULL_SHARE_TIME_RATIO };
+    answers == 0 && MIN_EXPECTED_REQUESTS <= total.old.requests as f64 * ratio
 }
 
 fn summarize(counts: &VersionCounts) -> String {
--- a/crates/policy/tests/version_move.rs
+++ b/crates/policy/tests/version_move.rs
@@ -172,3 +172,28 @@
         assert_eq!(merged([0, 1, 2, 0]).hosts, copies[1].hosts);
     }
 }
+
+/// Guards against a version that is done without a single answer, because its share grew by time alone. A service with few requests
+/// moves all the same.
+#[test]
+fn a_share_grows_by_time_only_if_answers_are_not_overdue() {
+    let row = move_row("unanswered");
+    let mut lines = Vec::new();
+    for old_requests in [3, 40, 100_000] {
+        let mut evidence = MoveEvidence::default();
+        for _ in 0..old_requests {
+            evidence.record("h1", 0, MoveVersion::Old, VersionResult::Served);
+        }
+        for fraction in [0.3, 0.5, 0.6, 0.8, 0.9, 0.96, 1.0] {
+            let elapsed = Duration::from_secs(MOVE_SECONDS).mul_f64(fraction);
+            let wall = UNIX_EPOCH + Duration::from_millis(row.start_ms) + elapsed;
+            let status = move_status(&row, wall, &evidence);
+            let percent = status.share * 100.0;
+            lines.push(format!(
+                "{old_requests} at the old version, at {fraction}: {percent}% {:?}",
+                status.decision
+            ));
+        }
+    }
+    insta::assert_snapshot!(lines.join("\n"));
+}
--- a/crates/relay/src/move_tracker.rs
+++ b/crates/relay/src/move_tracker.rs
@@ -334,10 +334,17 @@
     }
     for (pool, tracked) in host.moves.moves().iter_mut() {
         let status = move_status(&tracked.row, wall, &tracked.evidence);
-        if let Some(pool) = view.serving.pools.get(pool) {
-            pool.state.set_new_version_share(status.share);
+        let pool_view = view.serving.pools.get(pool);
+        if let Some(pool_view) = pool_view {
+            pool_view.state.set_new_version_share(status.share);
         }
-        let state = match &status.decision {
+        let has_targets = pool_view.is_some_and(|view| view.has_version(&tracked.row.to));
+        let decision = if has_targets {
+            status.decision
+        } else {
+            decide_without_targets(status.decision, &tracked.row, wall)
+        };
+        let state = match &decision {
             MoveDecision::Running => MoveRecordState::Running,
             MoveDecision::Done => MoveRecordState::Completed,
             MoveDecision::TakenBack(reason) => {
@@ -366,6 +373,15 @@
     writes
 }
 
+/// Decision on a move to a version without a usable target: it is not done, and is taken back at its end.
+fn decide_without_targets(decision: MoveDecision, row: &MoveRow, wall: SystemTime) -> MoveDecision {
+    match decision {
+        MoveDecision::TakenBack(_) => decision,
+        _ if unix_ms(wall) < row.finish_by_ms => MoveDecision::Running,
+        _ => MoveDecision::TakenBack("the new version has no usable target".to_owned()),
+    }
+}
+
 impl TrackedMove {
     /// Whether the id of a move is one that this move has or had.
     fn is_about(&self, move_id: &str) -> bool {
