Moves: an attempt that nobody waits for any more is evidence, too

Cause: the move learnt of an attempt where its result was handed to the request. Attempts that were given up at the deadline, for the winner of a hedge or at the soft deadline of a search were drained, and only the target's statistics heard of their end.

Change: every attempt ends in one place, and the move learns of it there. One that is given up without a reply is slow if it has taken longer than a slow reply, and tells nothing otherwise. Both versions are counted alike and compared as before.

Evidence: a_version_whose_slow_replies_miss_the_deadline_is_rolled_back was recorded as completed before. The same load completes a move to a version that is as fast.

--- a/crates/dispatch/src/dispatch_plan.rs
+++ b/crates/dispatch/src/dispatch_plan.rs
@@ -30,7 +30,6 @@
 use crate::target_pick::pick_target;
 use crate::target_pick::queued_latency;
 use crate::target_state::TargetState;
-use crate::version_split::VersionSplit;
 
 mod crash_plan;
 mod group_plan;
@@ -479,12 +478,6 @@
         self.attempts[attempt].sent
     }
 
-    /// Whether the pool of an attempt is moving to another version.
-    pub fn is_pool_moving(&self, attempt: AttemptNumber) -> bool {
-        let pool = self.shards[self.attempts[attempt].shard].pool.as_ref();
-        pool.is_some_and(|pool| pool.version_split != VersionSplit::Single)
-    }
-
     /// Number of attempts sent so far, over all shards.
     pub fn sent_count(&self) -> usize {
         self.attempts.len()
--- a/crates/relay/src/move_tracker.rs
+++ b/crates/relay/src/move_tracker.rs
@@ -189,12 +189,14 @@
         self.stored().due_versions = due;
     }
 
-    /// Records the result of an attempt as evidence if the pool of its target is moving.
+    /// Records the end of an attempt as evidence if the pool of its target is moving. `outcome` is `None` if the attempt was given
+    /// up after `latency` without a reply: it is slow if it has already taken longer than a slow reply, and tells nothing
+    /// otherwise, because it had little time.
     pub(crate) fn record_attempt(
         &self,
         source: &str,
         target: &TargetState,
-        outcome: AttemptOutcome,
+        outcome: Option<AttemptOutcome>,
         latency: Duration,
         now: Duration,
     ) {
@@ -205,11 +207,13 @@
         let limit =
             tracked.old_latency.high_quantile().map(|high| high.mul_f64(SLOW_LATENCY_FACTOR));
         let result = match outcome {
-            AttemptOutcome::Answered => VersionResult::from_latency(latency, limit),
-            AttemptOutcome::Failed | AttemptOutcome::Lost => VersionResult::Failed,
-            AttemptOutcome::NotRun(_) => return,
+            Some(AttemptOutcome::Answered) => VersionResult::from_latency(latency, limit),
+            Some(AttemptOutcome::Failed | AttemptOutcome::Lost) => VersionResult::Failed,
+            Some(AttemptOutcome::NotRun(_)) => return,
+            None if limit.is_some_and(|limit| limit < latency) => VersionResult::Slow,
+            None => return,
         };
-        if !is_new && outcome == AttemptOutcome::Answered {
+        if !is_new && outcome == Some(AttemptOutcome::Answered) {
             tracked.old_latency.record(latency, now);
         }
         let version = if is_new { MoveVersion::New } else { MoveVersion::Old };
--- a/crates/relay/src/parts_server.rs
+++ b/crates/relay/src/parts_server.rs
@@ -332,12 +332,6 @@
         let now = self.request.host.now();
         let AttemptResult { attempt, outcome, reply, .. } = result;
         self.plan.set_repeats_held(self.request.is_suspect());
-        if self.plan.is_pool_moving(attempt) {
-            let target = self.plan.target(attempt);
-            let latency = now.saturating_sub(self.plan.sent_at(attempt));
-            let host = &self.request.host;
-            host.moves.record_attempt(host.evidence_source(), target, outcome, latency, now);
-        }
         if outcome != AttemptOutcome::Answered {
             metrics::counter!("vanillapick_attempt_failures_total", "end" => outcome.label())
                 .increment(1);
--- a/crates/relay/src/target_attempt.rs
+++ b/crates/relay/src/target_attempt.rs
@@ -27,6 +27,7 @@
 use vanillapick_dispatch::silent_attempts::InstanceState;
 use vanillapick_dispatch::silent_attempts::SilentAttempt;
 use vanillapick_dispatch::target_state::TargetState;
+use vanillapick_dispatch::version_split::VersionSplit;
 
 use crate::crash_state::wall_now;
 use crate::kept_connection::ReplyLimits;
@@ -84,18 +85,40 @@
 
 /// Guard that counts an attempt in flight at its target until it is dropped. An attempt that was sent and is dropped without a
 /// reply is remembered, in case that its target has crashed.
+///
+/// Every attempt ends here, so this is where the move of its pool learns of the end, whether or not anyone waits for it.
 struct AttemptInFlight {
     request: Arc<ForwardedRequest>,
     target: Arc<TargetState>,
+    /// When the attempt began, since the start of the process.
+    started: Duration,
     /// When the call was written; `None` before.
     sent: OnceLock<WallTime>,
     is_over: bool,
 }
 
+impl AttemptInFlight {
+    /// Records the end of the attempt as evidence if its pool is moving; `None` if it was given up without a reply.
+    fn record_evidence(&self, outcome: Option<AttemptOutcome>) {
+        let pools = &self.request.view.serving.pools;
+        let is_moving = pools
+            .get(&self.target.record.pool)
+            .is_some_and(|pool| pool.version_split != VersionSplit::Single);
+        if is_moving {
+            let host = &self.request.host;
+            let now = host.now();
+            let latency = now.saturating_sub(self.started);
+            let source = host.evidence_source();
+            host.moves.record_attempt(source, &self.target, outcome, latency, now);
+        }
+    }
+}
+
 impl Drop for AttemptInFlight {
     fn drop(&mut self) {
         self.target.record_finished();
         let Some(sent) = self.sent.get().filter(|_| !self.is_over) else { return };
+        self.record_evidence(None);
         let host = &self.request.host;
         let record = &self.target.record;
         let attempt = SilentAttempt {
@@ -113,19 +136,25 @@
     request: Arc<ForwardedRequest>,
     command: SendCommand,
 ) -> AttemptResult {
-    let attempt = command.attempt;
-    let target = command.target;
-    let host = &request.host;
-    let ended = |outcome, reply, detail| AttemptResult { attempt, outcome, reply, detail };
-    let started = host.now();
-    target.record_sent(started);
-    host.reach.record_sent(&target.record);
     let mut in_flight = AttemptInFlight {
-        request: Arc::clone(&request),
-        target: Arc::clone(&target),
+        started: request.host.now(),
+        target: command.target,
+        request,
         sent: OnceLock::new(),
         is_over: false,
     };
+    let result = send_attempt(&mut in_flight, command.attempt).await;
+    in_flight.record_evidence(Some(result.outcome));
+    result
+}
+
+async fn send_attempt(in_flight: &mut AttemptInFlight, attempt: AttemptNumber) -> AttemptResult {
+    let (request, target) = (Arc::clone(&in_flight.request), Arc::clone(&in_flight.target));
+    let started = in_flight.started;
+    let host = &request.host;
+    let ended = |outcome, reply, detail| AttemptResult { attempt, outcome, reply, detail };
+    target.record_sent(started);
+    host.reach.record_sent(&target.record);
     let Some(connections) = request.view.connections.get(&target) else {
         let detail = Some("the target is not in the connection table".to_owned());
         return ended(AttemptOutcome::NotRun(NotRunCause::Unreachable), None, detail);
