Targets: one that refused a connection counts as cold until it is registered again

Cause: only a registration told that a target is cold. It comes up to a heartbeat after the target listens again, and nothing tied the refused connections to the cold start that follows.

Change: a refused connection means that the process has ended. The target then gets the cold allowance until it is registered with another start, for 5 s after the last refusal at most. A connection that hangs (a cut link, a frozen target) is no refusal. The allowance holds for any second of a host.

--- a/crates/dispatch/src/target_state.rs
+++ b/crates/dispatch/src/target_state.rs
@@ -1,6 +1,10 @@
 //! State of one target as observed by this host's own attempts. The statistics are atomics, so that picking takes no
-//! lock.
+//! lock, except for a cold target.
 
+use std::collections::VecDeque;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering::Relaxed;
@@ -65,6 +69,13 @@
 /// requests for much longer than the store would take to say so.
 const LEAVING_USE: Duration = Duration::from_secs(1);
 
+/// Time in which the requests to a cold target are limited.
+const COLD_WINDOW: Duration = Duration::from_secs(1);
+
+/// Time for which a target that refused a connection may start again before its registration says so. It is longer than the longest
+/// backoff, after which the target is tried again.
+const RESTART_SUSPICION: Duration = Duration::from_secs(5);
+
 /// State of one target instance; a restart creates a new one.
 #[derive(Debug)]
 pub struct TargetState {
@@ -93,9 +104,10 @@
     consecutive_losses: AtomicU32,
     idle_connections: AtomicU32,
     cold_until_us: AtomicU64,
-    /// Second to which `cold_sent` applies.
-    cold_second: AtomicU64,
-    cold_sent: AtomicU32,
+    /// Time until which the target may have started again since it refused a connection.
+    restart_suspected_until_us: AtomicU64,
+    /// When requests were sent to the target while it was cold, for [`COLD_WINDOW`].
+    cold_sends: Mutex<VecDeque<Duration>>,
 }
 
 impl TargetState {
@@ -124,8 +136,8 @@
             consecutive_losses: AtomicU32::new(0),
             idle_connections: AtomicU32::new(0),
             cold_until_us: AtomicU64::new(cold_until),
-            cold_second: AtomicU64::new(0),
-            cold_sent: AtomicU32::new(0),
+            restart_suspected_until_us: AtomicU64::new(0),
+            cold_sends: Mutex::default(),
         }
     }
 
@@ -140,7 +152,7 @@
             self.last_progress_us.store(micros(now), Relaxed);
         }
         if self.is_cold(now) {
-            self.cold_sent.fetch_add(1, Relaxed);
+            self.cold_sends(now).push_back(now);
         }
     }
 
@@ -260,9 +272,16 @@
         micros(now) < self.backoff_until_us.load(Relaxed)
     }
 
-    /// Whether the target is still cold according to its registration.
+    /// Whether the target is cold according to its registration, or may have started again without one so far.
     pub fn is_cold(&self, now: Duration) -> bool {
-        micros(now) < self.cold_until_us.load(Relaxed)
+        let until = self.cold_until_us.load(Relaxed);
+        micros(now) < until.max(self.restart_suspected_until_us.load(Relaxed))
+    }
+
+    /// Records that nothing listens at the address of the target: its process has ended. If it starts again under its id, it is cold
+    /// before it is registered so.
+    pub fn record_refusal(&self, now: Duration) {
+        self.restart_suspected_until_us.fetch_max(micros(now + RESTART_SUSPICION), Relaxed);
     }
 
     /// Updates the remaining cold time from a newer record, read at `now`.
@@ -270,14 +289,18 @@
         self.cold_until_us.store(micros(now.saturating_add(cold_remaining)), Relaxed);
     }
 
-    /// Whether this host may send another request in the current second, at `allowed` requests per second to a cold
-    /// target.
+    /// Whether this host may send another request now, at `allowed` requests in any second to a cold target.
     pub fn has_cold_capacity(&self, allowed: u32, now: Duration) -> bool {
-        let second = now.as_secs();
-        if self.cold_second.swap(second, Relaxed) != second {
-            self.cold_sent.store(0, Relaxed);
+        self.cold_sends(now).len() < allowed as usize
+    }
+
+    /// Sends while the target was cold, without those before the current window.
+    fn cold_sends(&self, now: Duration) -> MutexGuard<'_, VecDeque<Duration>> {
+        let mut sends = self.cold_sends.lock().unwrap_or_else(PoisonError::into_inner);
+        while sends.front().is_some_and(|sent| *sent + COLD_WINDOW <= now) {
+            sends.pop_front();
         }
-        self.cold_sent.load(Relaxed) < allowed
+        sends
     }
 
     fn back_off(&self, time: Duration, now: Duration) {
--- a/crates/relay/src/target_connections.rs
+++ b/crates/relay/src/target_connections.rs
@@ -1,5 +1,6 @@
 //! Limited pool of HTTP/1 connections from this host to one target.
 
+use std::io::ErrorKind;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
@@ -224,7 +225,12 @@
                 .await;
         let stream = match stream {
             Ok(Ok(stream)) => stream,
-            Ok(Err(error)) => return Err(unreachable(error.to_string())),
+            Ok(Err(error)) => {
+                if error.kind() == ErrorKind::ConnectionRefused {
+                    self.target.record_refusal(now);
+                }
+                return Err(unreachable(error.to_string()));
+            }
             Err(_) => return Err(unreachable("connect timed out".to_owned())),
         };
         stream.set_nodelay(true).map_err(|error| unreachable(error.to_string()))?;
