Relay: a failed check begins the grace for expired registrations

Seen: after an outage in which watches were held and only checks failed, hosts dropped all targets whose registrations had lapsed (known red, a store that answers 503).

Cause: the grace began with the first reply after a watch had failed, not after a check had.

Change: a failed check of the own watch counts as a lost store, and the next reply begins the grace.

--- a/crates/relay/src/store_follower.rs
+++ b/crates/relay/src/store_follower.rs
@@ -311,6 +311,8 @@
                     if let Err(error) = &reply {
                         tracing::debug!(fault = %error, "store revision check failed");
                         self.host.changes.mark_store_lost();
+                        // Registrations may expire meanwhile, as with a watch that fails.
+                        self.is_store_lost |= *source == ChangeSource::Store;
                     }
                     match step {
                         WatchStep::Keep { proven_at } => {
@@ -337,6 +339,7 @@
     ) -> WatchEnd {
         let revision = position.revision;
         let current = current.unwrap_or(position);
+        self.on_store_reply(self.host.now());
         match step {
             WatchStep::NewEra => return WatchEnd::Replaced(self.start_era(position, current.era)),
             WatchStep::Renew { proven_at } => {
