Dispatch: what is known of versions beside what is stored is a type of its own

They move to known_versions; what it decides is as before. DispatchPlan::sent_at has had no caller since the move learns of attempts where they end, and goes.

--- a/crates/dispatch/src/dispatch_plan.rs
+++ b/crates/dispatch/src/dispatch_plan.rs
@@ -473,11 +473,6 @@
         self.shards[self.attempts[attempt].shard].answer == Some(attempt)
     }
 
-    /// When an attempt was sent, since the start of the process.
-    pub fn sent_at(&self, attempt: AttemptNumber) -> Duration {
-        self.attempts[attempt].sent
-    }
-
     /// Number of attempts sent so far, over all shards.
     pub fn sent_count(&self) -> usize {
         self.attempts.len()
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod host_lease;
 pub mod host_record;
 pub mod host_quota;
+mod known_versions;
 pub mod pool_state;
 pub mod pool_versions;
 pub mod registry;
--- a/crates/dispatch/src/registry.rs
+++ b/crates/dispatch/src/registry.rs
@@ -17,12 +17,12 @@
 use crate::host_record::HOST_LEASE_TTL;
 use crate::host_record::HostId;
 use crate::host_record::HostRecord;
+use crate::known_versions::KnownVersions;
 use crate::pool_state::PoolState;
 use crate::pool_state::RouteState;
 use crate::pool_versions::DueVersions;
 use crate::pool_versions::PoolVersions;
 use crate::pool_versions::VersionsByPool;
-use crate::pool_versions::has_several_versions;
 use crate::retry_budget::RetryBudgetLimits;
 use crate::route_table::RouteTable;
 use crate::serving_view::PoolView;
@@ -177,11 +177,7 @@
     /// Hosts that are no longer registered, with their last record and the time until which they count.
     gone_hosts: BTreeMap<HostId, (HostRecord, Duration)>,
     moves: PoolMoves,
-    versions: VersionsByPool,
-    /// Versions as the store has them, with the revision of the item.
-    stored_versions: BTreeMap<PoolId, (PoolVersions, StoreRevision)>,
-    /// Pools with usable targets of several versions, by the last view.
-    mixed_pools: BTreeSet<PoolId>,
+    versions: KnownVersions,
     pools: HashMap<PoolId, Arc<PoolState>>,
     routes: HashMap<Arc<str>, Arc<RouteState>>,
     /// Registrations that are removed before this time may be written again.
@@ -208,9 +204,7 @@
             hosts: BTreeMap::new(),
             gone_hosts: BTreeMap::new(),
             moves: PoolMoves::new(),
-            versions: VersionsByPool::new(),
-            stored_versions: BTreeMap::new(),
-            mixed_pools: BTreeSet::new(),
+            versions: KnownVersions::default(),
             pools: HashMap::new(),
             routes: HashMap::new(),
             expiry_grace_until: Duration::ZERO,
@@ -256,70 +250,14 @@
         is_changed
     }
 
-    /// Applies the last record of a pool to its versions, unless they were written later; returns whether they change.
-    fn apply_record_to_versions(&mut self, pool: &PoolId) -> bool {
-        let Some(pool_move) = self.moves.get(pool) else { return false };
-        let Some(record) = &pool_move.record else { return false };
-        let stored = self.stored_versions.get(pool).map_or(0, |(_, revision)| *revision);
-        if pool_move.stored.as_ref() != Some(record) || pool_move.record_revision < stored {
-            return false;
-        }
-        let versions = self.versions.entry(Arc::clone(pool)).or_default();
-        let before = versions.clone();
-        versions.record_end(record);
-        *versions != before
-    }
-
-    /// Applies the versions of a pool as another host has written them; returns whether that changes any. What this host knows
-    /// stays while the store may lack what was written before it was restored.
-    fn apply_versions(
-        &mut self,
-        pool: PoolId,
-        versions: Option<PoolVersions>,
-        revision: StoreRevision,
-        now: Duration,
-    ) -> bool {
-        let Some(written) = versions else {
-            self.stored_versions.remove(&pool);
-            return false;
-        };
-        self.stored_versions.insert(Arc::clone(&pool), (written.clone(), revision));
-        let known = self.versions.entry(Arc::clone(&pool)).or_default();
-        let is_restoring = now < self.restoring_until;
-        if is_restoring && known.in_service.is_some() {
-            return false;
-        }
-        let before = known.clone();
-        known.adopt(written);
-        self.apply_record_to_versions(&pool);
-        self.versions.get(&pool) != Some(&before)
-    }
-
     /// Versions of the pools that have orders or records of moves.
     pub fn move_versions(&self) -> VersionsByPool {
-        let versions = self.versions.iter().filter(|(pool, _)| self.moves.contains_key(*pool));
-        versions.map(|(pool, versions)| (Arc::clone(pool), versions.clone())).collect()
+        self.versions.of_moves(&self.moves)
     }
 
-    /// Versions that the store lacks or has otherwise. Those of a pool with targets of one version need not be written: a host that
-    /// starts sees them.
+    /// Versions that the store lacks or has otherwise.
     pub fn due_versions(&self) -> Vec<DueVersions> {
-        let pools = self.stored_versions.keys().chain(&self.mixed_pools);
-        let pools: BTreeSet<&PoolId> = pools.collect();
-        let due = pools.into_iter().filter_map(|pool| {
-            let versions = self.versions.get(pool)?;
-            if versions.in_service.is_none() || versions.is_guess {
-                return None;
-            }
-            let stored = self.stored_versions.get(pool);
-            let is_stored = stored.is_some_and(|(stored, _)| stored == versions);
-            (!is_stored).then(|| DueVersions {
-                pool: Arc::clone(pool),
-                versions: versions.clone(),
-                revision: stored.map_or(0, |(_, revision)| *revision),
-            })
-        });
-        due.collect()
+        self.versions.due()
     }
 
     /// Has repeated orders wait while a live host does not tell them from the earlier ones; returns whether that changes any.
@@ -371,11 +309,13 @@
             StoreChange::MoveRecord(pool, record, revision) => {
                 let is_changed =
                     self.apply_to_move(&pool, |pool_move| pool_move.apply_record(record, revision));
-                let is_moved = self.apply_record_to_versions(&pool);
+                let is_moved = self.versions.apply_record(&pool, self.moves.get(&pool));
                 self.update_holds() || is_changed || is_moved
             }
             StoreChange::PoolVersions(pool, versions, revision) => {
-                self.apply_versions(pool, versions, revision, now)
+                let is_restoring = now < self.restoring_until;
+                let pool_move = self.moves.get(&pool);
+                self.versions.apply_written(&pool, versions, revision, pool_move, is_restoring)
             }
             // The caller handles evidence and crash marks.
             StoreChange::MoveEvidence(..)
@@ -421,7 +361,7 @@
     pub fn apply_restored_list(&mut self, changes: Vec<StoreChange>, now: Duration) {
         self.mark_store_recovered(now);
         self.moves.values_mut().for_each(PoolMove::forget_stored);
-        self.stored_versions.clear();
+        self.versions.forget_stored();
         let due = now + EXPIRY_GRACE;
         self.restoring_until = due;
         let mut missing: BTreeMap<PendingKey, StoreChange> = BTreeMap::new();
@@ -548,16 +488,10 @@
                 pool.targets.push(Arc::clone(target));
             }
         }
-        let no_move = PoolMove::default();
-        self.mixed_pools.clear();
+        self.versions.begin_view();
         for (id, pool) in &mut pools {
-            let pool_move = self.moves.get(id).unwrap_or(&no_move);
-            if has_several_versions(&pool.targets) {
-                self.mixed_pools.insert(Arc::clone(id));
-            }
-            let versions = self.versions.entry(Arc::clone(id)).or_default();
-            versions.observe(&pool.targets, pool_move.active_order().map(|order| &order.version));
-            pool.version_split = pool_move.retain_usable(versions, &mut pool.targets);
+            let pool_move = self.moves.get(id);
+            pool.version_split = self.versions.split_pool(id, pool_move, &mut pool.targets);
         }
         for route in &config.routes {
             self.routes.entry(Arc::clone(&route.id)).or_default();
