Relay: a watch on the store has a file and one place per step; versions go with the moves

Starting, checking and replacing one watch moves to store_follower/store_watch, and each consequence of a check has its own arm in place of a second match with arms that were never reached. The versions that the store lacks are set together with the moves, in one call in place of two at each site, and an expiry no longer sets them twice. What is decided and sent is as before.

--- a/crates/relay/src/move_tracker.rs
+++ b/crates/relay/src/move_tracker.rs
@@ -149,11 +149,12 @@
 
 impl MoveTracker {
     /// Starts and ends tracking according to the move orders and records in the store. `wall` is the start time of new
-    /// moves. One host, the `is_remover`, removes the evidence about earlier orders.
+    /// moves. One host, the `is_remover`, removes the evidence about earlier orders and writes the versions that the store lacks.
     pub(crate) fn set_moves(
         &self,
         moves: &PoolMoves,
         versions: VersionsByPool,
+        due_versions: Vec<DueVersions>,
         is_remover: bool,
         wall: SystemTime,
     ) {
@@ -161,6 +162,7 @@
             let mut stored = self.stored();
             stored.moves = moves.clone();
             stored.versions = versions;
+            stored.due_versions = due_versions;
             stored.is_remover = is_remover;
         }
         let mut moves_by_pool = self.moves();
@@ -184,11 +186,6 @@
         }
     }
 
-    /// Sets the versions of pools that the store lacks.
-    pub(crate) fn set_due_versions(&self, due: Vec<DueVersions>) {
-        self.stored().due_versions = due;
-    }
-
     /// Records the end of an attempt as evidence if the pool of its target is moving. `outcome` is `None` if the attempt was given
     /// up after `latency` without a reply: it is slow if it has already taken longer than a slow reply, and tells nothing
     /// otherwise, because it had little time.
--- a/crates/relay/src/store_follower.rs
+++ b/crates/relay/src/store_follower.rs
@@ -5,8 +5,6 @@
 use std::time::Duration;
 use std::time::SystemTime;
 
-use futures_util::future::BoxFuture;
-use futures_util::future::OptionFuture;
 use hyper::StatusCode;
 use vanillapick_dispatch::change_source::ChangeSource;
 use vanillapick_dispatch::change_source::ChangeSourceSelector;
@@ -16,15 +14,10 @@
 use vanillapick_dispatch::registry::StoreChange;
 use vanillapick_dispatch::registry::StoreRegistry;
 use vanillapick_dispatch::target_record::TargetId;
-use vanillapick_dispatch::watch_supervisor::WatchStep;
-use vanillapick_dispatch::watch_supervisor::WatchSupervisor;
 
+use self::store_watch::WatchEnd;
 use crate::change_log::PeerChanges;
 use crate::peer_changes::PEER_CONFIRMATION;
-use crate::peer_changes::PEER_TIMEOUT;
-use crate::peer_changes::PEER_WAIT;
-use crate::peer_changes::changes_call;
-use crate::peer_changes::read_changes;
 use crate::relay_host::RelayHost;
 use crate::request_flow::millis;
 use crate::store_client::StoreClient;
@@ -34,20 +27,11 @@
 use crate::wire::StorePage;
 use crate::wire::StorePosition;
 
+mod store_watch;
+
 /// Maximum wait of one watch. Long waits save calls, each of which is charged for.
 const WATCH_WAIT: Duration = Duration::from_secs(20);
 
-/// Interval between checks while a watch waits, as a fraction of the time within which a change must take effect. The
-/// store may stop replying to a watch without closing its connection; then only a newer revision shows that it is dead. The rest
-/// of the time is for the reply to the check, [`WATCH_RETURN_GRACE`] and another watch.
-const CHECK_PERIOD_FRACTION: f64 = 0.66;
-
-/// Minimum interval between checks, however short the time for a change to take effect is.
-const MIN_CHECK_PERIOD: Duration = Duration::from_millis(100);
-
-/// Time in which a watch must return after a check has found a newer revision.
-const WATCH_RETURN_GRACE: Duration = Duration::from_millis(300);
-
 /// Maximum delay before the next watch after a change, as a fraction of the time within which a change must take effect.
 const MAX_CHANGE_DELAY_FRACTION: f64 = 0.27;
 
@@ -106,13 +90,6 @@
     }
 }
 
-/// How a watch ended.
-enum WatchEnd {
-    Returned(Result<PeerChanges, StoreError>),
-    /// It is given up, and this step follows.
-    Replaced(FollowStep),
-}
-
 struct StoreFollower {
     host: Arc<RelayHost>,
     store: StoreClient,
@@ -274,93 +251,6 @@
         Ok(step)
     }
 
-    /// Waits until a watch that is sent at `asked` returns or has to be replaced. Checks the watch meanwhile.
-    async fn await_changes(
-        &mut self,
-        source: &ChangeSource,
-        position: StorePosition,
-        asked: Duration,
-    ) -> WatchEnd {
-        let mut watch = self.start_watch(source, position);
-        // A peer checks its own watch, so changes that it forwards need no check here.
-        let (check_period, proven_at) = match source {
-            ChangeSource::Store => (self.check_period(), self.proven_at),
-            ChangeSource::Peer(..) => (WATCH_WAIT, asked),
-        };
-        let mut supervisor =
-            WatchSupervisor::new(position, check_period, proven_at, self.is_store_lost, asked);
-        let mut check = OptionFuture::from(None);
-        let mut is_checking = false;
-        loop {
-            let now = self.host.now();
-            let expiry =
-                self.registry.next_expiry().map_or(WATCH_WAIT, |at| at.saturating_sub(now));
-            let check_delay = supervisor.next_check().saturating_sub(now);
-            // The watch continues meanwhile, because a new call would be charged for again.
-            tokio::select! {
-                changes = watch.as_mut() => return WatchEnd::Returned(changes),
-                () = tokio::time::sleep(expiry) => self.expire(),
-                () = tokio::time::sleep(check_delay), if !is_checking => {
-                    is_checking = true;
-                    check = OptionFuture::from(Some(self.start_check()));
-                }
-                Some((sent, reply)) = &mut check, if is_checking => {
-                    is_checking = false;
-                    let current = reply.as_ref().ok().copied();
-                    let step = supervisor.after_check(sent, current, self.host.now());
-                    if let Err(error) = &reply {
-                        tracing::debug!(fault = %error, "store revision check failed");
-                        self.host.changes.mark_store_lost();
-                        // Registrations may expire meanwhile, as with a watch that fails.
-                        self.is_store_lost |= *source == ChangeSource::Store;
-                    }
-                    match step {
-                        WatchStep::Keep { proven_at } => {
-                            self.confirm_store(proven_at);
-                            self.check_silent_attempts();
-                        }
-                        WatchStep::Unproven => {}
-                        WatchStep::Renew { .. } | WatchStep::Overdue | WatchStep::NewEra => {
-                            return self.replace_watch(watch, step, position, current).await;
-                        }
-                    }
-                }
-            }
-        }
-    }
-
-    /// Ends a watch after a check whose reply was `current`. An overdue one may still return.
-    async fn replace_watch(
-        &mut self,
-        mut watch: BoxFuture<'static, Result<PeerChanges, StoreError>>,
-        step: WatchStep,
-        position: StorePosition,
-        current: Option<StorePosition>,
-    ) -> WatchEnd {
-        let revision = position.revision;
-        let current = current.unwrap_or(position);
-        self.on_store_reply(self.host.now());
-        match step {
-            WatchStep::NewEra => return WatchEnd::Replaced(self.start_era(position, current.era)),
-            WatchStep::Renew { proven_at } => {
-                self.confirm_store(proven_at);
-                tracing::info!(revision, "watch may be silent since a check failed; restarting it");
-            }
-            WatchStep::Overdue | WatchStep::Keep { .. } | WatchStep::Unproven => {
-                let changes = tokio::time::timeout(WATCH_RETURN_GRACE, watch.as_mut()).await;
-                if let Ok(changes) = changes {
-                    return WatchEnd::Returned(changes);
-                }
-                tracing::info!(
-                    revision,
-                    current = current.revision,
-                    "watch is silent; restarting it"
-                );
-            }
-        }
-        WatchEnd::Replaced(WATCH_NOW)
-    }
-
     /// Has the store listed, because it is in a later era than the known position.
     fn start_era(&mut self, known: StorePosition, era: StoreEra) -> FollowStep {
         let revision = known.revision;
@@ -376,45 +266,6 @@
         self.sources.select(self.registry.hosts(), now)
     }
 
-    /// Interval between checks of this host's own watch; shorter if peers depend on it.
-    fn check_period(&self) -> Duration {
-        let default = self.host.settings.change_time.mul_f64(CHECK_PERIOD_FRACTION);
-        let period = self.shared_check_period().map_or(default, |period| period.min(default));
-        period.max(MIN_CHECK_PERIOD)
-    }
-
-    fn shared_check_period(&self) -> Option<Duration> {
-        self.sources.shared_check_interval(self.registry.hosts())
-    }
-
-    fn start_watch(
-        &self,
-        source: &ChangeSource,
-        position: StorePosition,
-    ) -> BoxFuture<'static, Result<PeerChanges, StoreError>> {
-        let wire = self.host.wire.store;
-        match source {
-            ChangeSource::Store => {
-                let (store, call) =
-                    (self.store.clone(), (wire.watch)(position.revision, WATCH_WAIT));
-                Box::pin(async move {
-                    let page = store.read_page(call, WATCH_WAIT, wire.read_watch).await?;
-                    Ok(PeerChanges {
-                        page,
-                        expiry_grace_left: Duration::ZERO,
-                        has_store: true,
-                        is_complete: false,
-                    })
-                })
-            }
-            ChangeSource::Peer(_, address) => {
-                let peer = self.store.for_peer(*address, PEER_TIMEOUT);
-                let call = changes_call(position);
-                Box::pin(async move { peer.read(call, PEER_WAIT, read_changes).await })
-            }
-        }
-    }
-
     /// Applies the reply of a peer. A peer that failed is avoided for a while. If it has not listed the store yet, the next
     /// watch goes to the store.
     async fn apply_peer_changes(
@@ -521,16 +372,6 @@
         self.host.changes.confirm_store_until(proven_at + self.host.settings.change_time);
     }
 
-    /// Asks for the position of the store; returns it with the time at which the call was sent.
-    fn start_check(&self) -> BoxFuture<'static, (Duration, Result<StorePosition, StoreError>)> {
-        let (store, wire) = (self.store.clone(), self.host.wire.store);
-        let sent = self.host.now();
-        Box::pin(async move {
-            let reply = store.read_in_era((wire.check)(), Duration::ZERO, wire.read_check).await;
-            (sent, reply.map(|(revision, era)| StorePosition { era, revision }))
-        })
-    }
-
     /// Decodes an item. An error is logged, and the last valid value stays in force.
     fn read_change(&self, item: &StoreItem) -> Option<StoreChange> {
         let parsed = (self.host.wire.store.read_change)(item)?;
@@ -557,7 +398,6 @@
             | StoreChange::PoolVersions(..)
             | StoreChange::Host(..)) => {
                 let is_changed = self.registry.apply(change, now);
-                self.host.moves.set_due_versions(self.registry.due_versions());
                 self.set_moves();
                 is_changed
             }
@@ -568,17 +408,19 @@
     fn set_moves(&self) {
         let first = self.registry.hosts().keys().next();
         let is_remover = first.is_some_and(|host| **host == *self.host.settings.host);
-        let versions = self.registry.move_versions();
-        self.host.moves.set_moves(self.registry.moves(), versions, is_remover, SystemTime::now());
+        self.host.moves.set_moves(
+            self.registry.moves(),
+            self.registry.move_versions(),
+            self.registry.due_versions(),
+            is_remover,
+            SystemTime::now(),
+        );
     }
 
     fn install(&mut self) {
         install(&self.host, &mut self.registry, self.host.now().saturating_sub(self.busy_since));
-        self.host.moves.set_due_versions(self.registry.due_versions());
         // The first view after an order tells which version it replaces.
-        if !self.registry.moves().is_empty() {
-            self.set_moves();
-        }
+        self.set_moves();
     }
 
     fn on_store_reply(&mut self, now: Duration) {
@@ -621,7 +463,6 @@
     fn expire(&mut self) {
         self.busy_since = self.host.now();
         if self.registry.expire(self.busy_since) {
-            self.set_moves();
             self.install();
             self.check_silent_attempts();
         }
