Relay: the change log judges its own confirmation for the time in which a peer relies on it

The endpoint computed has_store a second time over what changes_after had found. The log takes the time as an argument in its place, and a test says what it does.

--- a/crates/relay/src/change_log.rs
+++ b/crates/relay/src/change_log.rs
@@ -57,7 +57,7 @@
     /// Remaining grace period for registrations that expired while the store was unreachable.
     #[serde(rename = "lapse_left")]
     pub expiry_grace_left: Duration,
-    /// Whether the replying host can reach the store.
+    /// Whether what the replying host knows counts as current until the next reply.
     pub has_store: bool,
     /// Whether `page` has all items of the store, so that items it lacks were removed.
     #[serde(default)]
@@ -141,11 +141,12 @@
 
     /// Returns the changes after a position as soon as there are any, or an empty page after `wait`; all items if the position
     /// is of an earlier era or removals after it are forgotten. Returns `None` before the first list of the position's era.
-    /// `clock` returns the time since the start of the process.
+    /// `clock` returns the time since the start of the process. The peer relies on the reply for `reliance` after it.
     pub async fn changes_after(
         &self,
         after: StorePosition,
         wait: Duration,
+        reliance: Duration,
         clock: impl Fn() -> Duration,
     ) -> Option<PeerChanges> {
         let mut position = self.position.subscribe();
@@ -167,7 +168,7 @@
         let page = StorePage { items, revision, has_more: false, era };
         let now = clock();
         let expiry_grace_left = state.expiry_grace_until.saturating_sub(now);
-        let has_store = now < state.confirmed_until;
+        let has_store = now + reliance < state.confirmed_until;
         Some(PeerChanges { page, expiry_grace_left, has_store, is_complete })
     }
 
--- a/crates/relay/src/peer_changes.rs
+++ b/crates/relay/src/peer_changes.rs
@@ -69,13 +69,9 @@
             Some(Err(_)) => return Outcome::Error(Status::BadRequest),
         };
         let after = StorePosition { era, revision };
-        let changes = host.changes.changes_after(after, PEER_WAIT, || host.now()).await;
-        let changes = changes.map(|changes| PeerChanges {
-            // The peer relies on this host until its next reply.
-            has_store: host.changes.has_store(host.now() + PEER_CONFIRMATION),
-            ..changes
-        });
-        let Some(changes) = changes else {
+        let changes =
+            host.changes.changes_after(after, PEER_WAIT, PEER_CONFIRMATION, || host.now());
+        let Some(changes) = changes.await else {
             return Outcome::Error(Status::Gone);
         };
         match rmp_serde::to_vec(&changes) {
--- a/crates/relay/tests/change_log.rs
+++ b/crates/relay/tests/change_log.rs
@@ -21,7 +21,8 @@
 
 /// Formats the changes after a revision of the first era as one line.
 async fn changes(log: &ChangeLog, after: u64) -> String {
-    let changes = log.changes_after(at(after), NO_WAIT, || Duration::from_secs(7)).await;
+    let changes =
+        log.changes_after(at(after), NO_WAIT, Duration::ZERO, || Duration::from_secs(7)).await;
     let Some(changes) = changes else {
         return format!("after {after}: not kept");
     };
@@ -77,8 +78,10 @@
     for revision in 2..8 {
         log.append(&[item("config", Some(&large), revision)], at(revision));
     }
-    let kept =
-        log.changes_after(at(1), NO_WAIT, || NO_WAIT).await.expect("it has listed the store");
+    let kept = log
+        .changes_after(at(1), NO_WAIT, Duration::ZERO, || NO_WAIT)
+        .await
+        .expect("it has listed the store");
     let revisions: Vec<u64> = kept.page.items.iter().map(|item| item.revision).collect();
     assert_eq!(revisions, [7]);
     assert!(!kept.is_complete);
@@ -97,12 +100,16 @@
             at(revision + 1),
         );
     }
-    let early =
-        log.changes_after(at(10), NO_WAIT, || NO_WAIT).await.expect("it has listed the store");
+    let early = log
+        .changes_after(at(10), NO_WAIT, Duration::ZERO, || NO_WAIT)
+        .await
+        .expect("it has listed the store");
     let keys: Vec<&str> = early.page.items.iter().map(|item| item.key.as_str()).collect();
     assert_eq!((early.is_complete, keys), (true, vec!["kept"]));
-    let late =
-        log.changes_after(at(9000), NO_WAIT, || NO_WAIT).await.expect("it has listed the store");
+    let late = log
+        .changes_after(at(9000), NO_WAIT, Duration::ZERO, || NO_WAIT)
+        .await
+        .expect("it has listed the store");
     assert_eq!((late.is_complete, late.page.items.len()), (false, 11));
 }
 
@@ -141,7 +148,10 @@
     let late = log.append(&[item("op/config", Some("16"), 60)], at(60));
     assert_eq!(late, [], "a late reply of the earlier era");
     log.apply_list(&[item("op/config", Some("16"), 60)], at(60));
-    let kept = log.changes_after(at(59), NO_WAIT, || NO_WAIT).await.expect("a later era is known");
+    let kept = log
+        .changes_after(at(59), NO_WAIT, Duration::ZERO, || NO_WAIT)
+        .await
+        .expect("a later era is known");
     let items = vec![item("op/config", Some("17"), 59)];
     assert_eq!(
         (kept.is_complete, kept.page.position(), kept.page.items),
@@ -155,5 +165,20 @@
     let log = ChangeLog::default();
     log.apply_list(&[item("op/config", Some("15"), 59)], at(59));
     let asked = StorePosition { era: 2, revision: 40 };
-    assert_eq!(log.changes_after(asked, NO_WAIT, || NO_WAIT).await, None);
+    assert_eq!(log.changes_after(asked, NO_WAIT, Duration::ZERO, || NO_WAIT).await, None);
+}
+
+/// Guards against a peer that counts as current for longer than the host that it follows.
+#[tokio::test]
+async fn a_reply_confirms_the_store_only_for_as_long_as_the_peer_relies_on_it() {
+    let log = ChangeLog::default();
+    log.apply_list(&[], at(10));
+    log.confirm_store_until(Duration::from_secs(8));
+    let mut seen = Vec::new();
+    for reliance in [0, 1, 2, 3] {
+        let reliance = Duration::from_millis(reliance * 500);
+        let changes = log.changes_after(at(10), NO_WAIT, reliance, || Duration::from_secs(7)).await;
+        seen.push(changes.expect("it has listed the store").has_store);
+    }
+    assert_eq!(seen, [true, true, false, false]);
 }
