--- a/crates/policy/src/version_move.rs
+++ b/crates/policy/src/version_move.rs
@@ -160,13 +160,13 @@
         return MoveStatus { share: 1.0, thin_evidence, summary, decision: MoveDecision::Done };
     }
     let share = step.map_or(0.0, |step| step.share);
-    if elapsed.is_some_and(|elapsed| 1.0 <= elapsed) && is_unanswered(&total, share) {
+    let has_elapsed = |fraction: f64| elapsed.is_some_and(|elapsed| fraction <= elapsed);
+    let is_unanswered = is_unanswered(&total, share);
+    if is_unanswered && has_elapsed(1.0) {
         let decision = MoveDecision::TakenBack(UNANSWERED.to_owned());
         return MoveStatus { share: 0.0, thin_evidence, summary, decision };
     }
-    let is_done = share >= 1.0
-        && elapsed.is_some_and(|elapsed| elapsed >= DONE_FRACTION)
-        && !is_unanswered(&total, share);
+    let is_done = share >= 1.0 && !is_unanswered && has_elapsed(DONE_FRACTION);
     let decision = if is_done { MoveDecision::Done } else { MoveDecision::Running };
     MoveStatus { share, thin_evidence, summary, decision }
 }
