Help and stand-ins name files and hosts plainly

The examples in the help of check and of the entry program, and the host of a test's stand-in, carried the name of a deployment. examples/ keeps its folders, which the pages name.

--- a/crates/ctl/src/commands/check.rs
+++ b/crates/ctl/src/commands/check.rs
@@ -19,7 +19,7 @@
   --plain   print one line per finding, in the form file:line:column: problem; correction
 
 example:
-  vanillapick-ctl check examples/pajilla/tables.jsonc
+  vanillapick-ctl check tables-2.jsonc
 ";
 
 pub(crate) fn run(
--- a/crates/ctl/tests/operator_pages.rs
+++ b/crates/ctl/tests/operator_pages.rs
@@ -29,7 +29,7 @@
 const EXIT_NOTE: &str = "# exits with ";
 
 /// Response of a host to `GET /status`.
-const HOST_STATUS: &str = r#"{"host":"pajilla-entry-1","domain":"lima","revision":1,"ready":true,"leaving":false,
+const HOST_STATUS: &str = r#"{"host":"entry-1","domain":"lima","revision":1,"ready":true,"leaving":false,
     "rejected":null,"watches_store":true,"requests_running":0,"peer":{"bytes_in":1,"bytes_out":1,"cpu_us":1},
     "peers":[],"moves":[]}"#;
 
@@ -57,7 +57,7 @@
         let host = StandIn::start().await;
         host.set_status(HOST_STATUS);
         platform.set_hosts(&format!(
-            r#"[{{"id":"pajilla-entry-1","domain":"lima","address":"{}"}}]"#,
+            r#"[{{"id":"entry-1","domain":"lima","address":"{}"}}]"#,
             host.address
         ));
         let mut table = load_config_table(&root().join("examples/pajilla/tables.jsonc"))
--- a/crates/entry/src/command.rs
+++ b/crates/entry/src/command.rs
@@ -28,7 +28,7 @@
   2  invalid settings or command line
 
 Example:
-  vanillapick-entry run examples/pajilla/entry-1.jsonc
+  vanillapick-entry run entry-1.jsonc
 ";
 
 /// Exit status for invalid settings or an invalid command line.
