Dispatch: a request that does not reach the new version is retried at the old one

Cause: while a pool moves, a request draws one of the two versions and kept it when its attempt could not be made, because a connection was refused or the address has another owner. If all targets of the new version had ended, its share of the requests was refused with 503 although the old targets served. Only a failed or lost attempt changed to the old version.

Change: an attempt that has not reached its target changes to the old version, too. One that a full target shed stays.

Result: the new test fails without the change (the second attempt goes to another target of the new version).

--- a/crates/dispatch/src/dispatch_plan.rs
+++ b/crates/dispatch/src/dispatch_plan.rs
@@ -57,7 +57,7 @@
 const OVERLOAD_FACTOR: f64 = 1.0;
 
 /// Value of `version_draw` that selects the old version while a pool moves, so that a request which failed on the new
-/// version is retried on the old one.
+/// version, or did not reach it, is retried on the old one.
 const OLD_VERSION_DRAW: f64 = 1.0;
 
 /// Times of one request, since the start of the process.
@@ -371,6 +371,9 @@
             }
             AttemptOutcome::NotRun(cause) => {
                 state.executions -= 1;
+                if matches!(cause, NotRunCause::Misdirected | NotRunCause::Unreachable) {
+                    self.version_draw = OLD_VERSION_DRAW;
+                }
                 let command = self.retry_not_run(shard, cause, now, rng);
                 let is_idle = command.is_none() && self.shards[shard].in_flight == 0;
                 if is_idle && cause == NotRunCause::Shed && self.may_send(shard) {
--- a/crates/dispatch/tests/dispatch_sessions.rs
+++ b/crates/dispatch/tests/dispatch_sessions.rs
@@ -16,11 +16,14 @@
 use vanillapick_dispatch::attempt::NotRunCause;
 use vanillapick_dispatch::attempt::SendCommand;
 use vanillapick_dispatch::config_document::RepeatRule;
+use vanillapick_dispatch::config_document::RoutePools;
 use vanillapick_dispatch::dispatch_plan::DispatchPlan;
 use vanillapick_dispatch::dispatch_plan::PlanVerdict;
 use vanillapick_dispatch::dispatch_plan::RefusalCause;
 use vanillapick_dispatch::dispatch_plan::RequestTimes;
+use vanillapick_dispatch::registry::StoreChange;
 use vanillapick_dispatch::serving_view::ServingView;
+use vanillapick_dispatch::version_split::MoveOrder;
 
 /// Time in milliseconds after which a target, given by its id, ends an attempt, and the outcome. `None` for no reply.
 type TargetScript = fn(&str) -> Option<(u64, AttemptOutcome)>;
@@ -214,6 +217,32 @@
     insta::assert_snapshot!(lines);
 }
 
+/// Guards against requests that are refused although the old version serves: all attempts stayed at the version that was drawn.
+#[test]
+fn a_request_that_does_not_reach_the_new_version_is_served_by_the_old_one() {
+    let single = common::route("page", RoutePools::Single("p".into()), RepeatRule::Once);
+    let mut records = ["n0", "m0", "m1"].map(|id| common::record(id, "p", "a"));
+    records[1..].iter_mut().for_each(|record| record.version = "v2".into());
+    let mut registry = common::registry(common::config(1, vec![single], &["p"]), &records[..1]);
+    registry.view().expect("a configuration is known");
+    let order = MoveOrder { version: "v2".into(), duration: ms(8000) };
+    registry.apply(StoreChange::MoveOrder("p".into(), Some(order), 2), ms(0));
+    for record in &records[1..] {
+        registry.apply(StoreChange::Target(record.clone()), ms(0));
+    }
+    let view = Arc::new(registry.view().expect("a configuration is known"));
+    view.pools["p"].state.set_new_version_share(1.0);
+    for cause in [NotRunCause::Misdirected, NotRunCause::Unreachable] {
+        let mut plan = plan(&view, "/page/x", &mut rng());
+        let first = plan.start(&[], ms(0), &mut rng()).pop().expect("a first attempt");
+        assert_eq!(&*first.target.record.version, "v2");
+        let not_run = AttemptOutcome::NotRun(cause);
+        let next = plan.on_outcome(first.attempt, not_run, ms(1), &mut rng());
+        let next = next.map(|next| next.target.record.id.clone());
+        assert_eq!(next.as_deref(), Some("n0"), "{cause:?}");
+    }
+}
+
 /// A host that is cut off from the store keeps targets whose addresses have other owners by now. Calls that these reject count
 /// as theirs, so calling them with every request exceeds their allowance of repeats.
 #[test]
