Moves: a version that has stopped answering gets a falling share and is taken back

Cause: whether a move grows by time was asked of the whole move, so one early answer was enough.

Change: a step is held if since the last answer of the new version at least 15 answers were to be expected at the step before. At its end such a move is taken back.

--- a/crates/policy/src/version_move.rs
+++ b/crates/policy/src/version_move.rs
@@ -19,7 +19,8 @@
 use self::evidence::PairCounts;
 use self::evidence::VersionCounts;
 
-/// One step of a move. It begins at `earliest` if there is enough evidence, and at `latest` in any case.
+/// One step of a move. It begins at `earliest` if there is enough evidence, and at `latest` in any case, unless the new version has
+/// not answered what it was sent at the step before.
 #[derive(Clone, Copy, Debug)]
 pub struct MoveStep {
     /// Share of new traffic that goes to the new pool.
@@ -77,9 +78,16 @@
 /// done. With fewer, a service may simply have too few requests to learn anything.
 const MIN_EXPECTED_REQUESTS: f64 = 5.0;
 
+/// The same for requests since the last answer. Every update of the share looks for such a gap, and with this number one in three
+/// million is a chance.
+const MIN_EXPECTED_SINCE_ANSWER: f64 = 15.0;
+
 /// Reason to take a move back that has had no answer from the new version until its end.
 const UNANSWERED: &str = "the new version has not answered any request";
 
+/// Reason to take a move back whose new version answers nothing at its end.
+const NO_LONGER_ANSWERED: &str = "the new version no longer answers requests";
+
 /// Minimum number of requests at the old version for which its share of bad requests is taken from the same window.
 const MIN_OLD_REQUESTS: u64 = 50;
 
@@ -141,8 +149,9 @@
 /// Computes the status of the move `row` at `wall` from the merged evidence of all hosts.
 pub fn move_status(row: &MoveRow, wall: SystemTime, evidence: &MoveEvidence) -> MoveStatus {
     let total = evidence.total();
+    let gap = AnswerGap::new(evidence, &total);
     let elapsed = elapsed_fraction(row, wall);
-    let step = elapsed.map(|elapsed| current_step(elapsed, &total));
+    let step = elapsed.map(|elapsed| current_step(elapsed, &total, &gap));
     let thin_evidence = step.is_some_and(|step| total.new.requests < step.requests);
     let suffix = if thin_evidence { "; thin evidence" } else { "" };
     let summary = format!("new {}; old {}{suffix}", summarize(&total.new), summarize(&total.old));
@@ -161,12 +170,13 @@
     }
     let share = step.map_or(0.0, |step| step.share);
     let has_elapsed = |fraction: f64| elapsed.is_some_and(|elapsed| fraction <= elapsed);
-    let is_unanswered = is_unanswered(&total, share);
-    if is_unanswered && has_elapsed(1.0) {
-        let decision = MoveDecision::TakenBack(UNANSWERED.to_owned());
+    let is_overdue = gap.is_overdue(share);
+    if is_overdue && has_elapsed(1.0) {
+        let reason = if gap.has_answered { NO_LONGER_ANSWERED } else { UNANSWERED };
+        let decision = MoveDecision::TakenBack(reason.to_owned());
         return MoveStatus { share: 0.0, thin_evidence, summary, decision };
     }
-    let is_done = share >= 1.0 && !is_unanswered && has_elapsed(DONE_FRACTION);
+    let is_done = share >= 1.0 && !is_overdue && has_elapsed(DONE_FRACTION);
     let decision = if is_done { MoveDecision::Done } else { MoveDecision::Running };
     MoveStatus { share, thin_evidence, summary, decision }
 }
@@ -205,12 +215,12 @@
     Some(elapsed.as_secs_f64() / total_duration(row).as_secs_f64())
 }
 
-fn current_step(elapsed: f64, total: &PairCounts) -> MoveStep {
+fn current_step(elapsed: f64, total: &PairCounts, gap: &AnswerGap) -> MoveStep {
     let mut current = MOVE_STEPS[0];
     for step in &MOVE_STEPS[1..] {
         let by_evidence = elapsed >= step.earliest && total.new.requests >= step.requests;
-        let by_time = elapsed >= step.latest && !is_unanswered(total, current.share);
-        if !by_evidence && !by_time {
+        let by_time = elapsed >= step.latest;
+        if gap.is_overdue(current.share) || !by_evidence && !by_time {
             break;
         }
         current = *step;
@@ -218,12 +228,36 @@
     current
 }
 
-/// Whether the new version has answered nothing, although at this share of the requests some answers were to be expected.
-fn is_unanswered(total: &PairCounts, share: f64) -> bool {
-    let answers = total.new.requests.saturating_sub(total.new.failures);
-    // At full share the old version gets no more requests, so the expected number follows from the time of the last step.
-    let ratio = if share < 1.0 { share / (1.0 - share) } else { FULL_SHARE_TIME_RATIO };
-    answers == 0 && MIN_EXPECTED_REQUESTS <= total.old.requests as f64 * ratio
+/// Time since the new version last answered, measured by the requests at the old version.
+struct AnswerGap {
+    /// Whether the new version has ever answered.
+    has_answered: bool,
+    /// Requests at the old version since the last answer.
+    old_requests: u64,
+}
+
+impl AnswerGap {
+    fn new(evidence: &MoveEvidence, total: &PairCounts) -> Self {
+        if answers(&total.new) == 0 {
+            return Self { has_answered: false, old_requests: total.old.requests };
+        }
+        let recent = evidence.recent();
+        let since = recent.values().rev().take_while(|counts| answers(&counts.new) == 0);
+        Self { has_answered: true, old_requests: since.map(|counts| counts.old.requests).sum() }
+    }
+
+    /// Whether the new version has answered nothing, although at this share of the requests some answers were to be expected.
+    fn is_overdue(&self, share: f64) -> bool {
+        // At full share the old version gets no more requests, so the expected number follows from the time of the last step.
+        let ratio = if share < 1.0 { share / (1.0 - share) } else { FULL_SHARE_TIME_RATIO };
+        let min_expected =
+            if self.has_answered { MIN_EXPECTED_SINCE_ANSWER } else { MIN_EXPECTED_REQUESTS };
+        min_expected <= self.old_requests as f64 * ratio
+    }
+}
+
+fn answers(counts: &VersionCounts) -> u64 {
+    counts.requests.saturating_sub(counts.failures)
 }
 
 fn summarize(counts: &VersionCounts) -> String {
--- a/crates/policy/tests/version_move.rs
+++ b/crates/policy/tests/version_move.rs
@@ -145,6 +145,43 @@
     }
 }
 
+/// Guards against a version that is done although it no longer answers: its share grew by time, or by evidence from before.
+#[test]
+fn a_share_falls_while_a_version_that_has_answered_no_longer_does() {
+    let row = move_row("ended");
+    let mut lines = Vec::new();
+    for (before, name) in [(3, "few answers"), (5000, "many answers")] {
+        let mut evidence = MoveEvidence::default();
+        let mut describe = |evidence: &MoveEvidence, fraction: f64, event: &str| {
+            let elapsed = Duration::from_secs(MOVE_SECONDS).mul_f64(fraction);
+            let wall = UNIX_EPOCH + Duration::from_millis(row.start_ms) + elapsed;
+            let status = move_status(&row, wall, evidence);
+            let (percent, decision) = (status.share * 100.0, status.decision);
+            lines.push(format!("{name}, at {fraction}: {percent}% {decision:?} {event}"));
+            bucket_at(&row, wall)
+        };
+        let bucket = describe(&evidence, 0.88, "before");
+        for _ in 0..before {
+            evidence.record("h1", bucket, MoveVersion::New, VersionResult::Served);
+            evidence.record("h1", bucket, MoveVersion::Old, VersionResult::Served);
+        }
+        describe(&evidence, 0.88, "it has answered");
+        for (requests, fraction) in [(10, 0.885), (10, 0.89), (60, 0.9), (300, 0.91), (2000, 0.92)]
+        {
+            for _ in 0..requests {
+                evidence.record("h2", bucket + 1, MoveVersion::Old, VersionResult::Served);
+            }
+            describe(&evidence, fraction, &format!("{requests} more at the old version"));
+        }
+        describe(&evidence, 0.96, "the end of a good move");
+        let mut answered = evidence.clone();
+        answered.record("h1", bucket + 1, MoveVersion::New, VersionResult::Served);
+        describe(&answered, 0.96, "it answers again");
+        describe(&evidence, 1.0, "it never does");
+    }
+    insta::assert_snapshot!(lines.join("\n"));
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(1), ..Default::default() })]
 
