Targets: hosts tell each other of refused connections

Cause: a host that starts while a target of a service with a cold allowance is down, or in the second in which it is back, has seen none of its refused connections.

Change: a host that was refused writes so to the store, under a lease of 8 s; all hosts take the target for cold for 5 s from there.

--- a/crates/dispatch/src/registry.rs
+++ b/crates/dispatch/src/registry.rs
@@ -73,6 +73,8 @@
     Target(TargetRecord),
     /// The registration of a target was removed or cannot be parsed.
     TargetGone(TargetId),
+    /// A host wrote that the process of a target which was started at this Unix time in milliseconds refused a connection.
+    TargetRefused(TargetId, u64),
     /// A failure domain was taken out of service (true) or returned to service (false).
     DomainOut(DomainId, bool),
     /// A host registered itself; `None` if its registration was removed.
@@ -284,6 +286,15 @@
             }
             StoreChange::Target(record) => self.apply_target(record, was_pending.is_some(), now),
             StoreChange::TargetGone(id) => self.apply_removal(&id, was_pending, now),
+            StoreChange::TargetRefused(id, started_ms) => {
+                let target = self.targets.get(&id);
+                if let Some(target) = target.filter(|target| target.record.started_ms == started_ms)
+                {
+                    target.record_refusal(now);
+                    target.record_shared_refusal(now);
+                }
+                false
+            }
             StoreChange::DomainOut(domain, true) => self.domains_out.insert(domain),
             StoreChange::DomainOut(domain, false) => self.domains_out.remove(&domain),
             StoreChange::Host(host, Some(record)) => {
@@ -604,6 +615,7 @@
             Self::Host(host, _) => Some(PendingKey::Host(Arc::clone(host))),
             Self::MoveOrder(pool, ..) => Some(PendingKey::MoveOrder(Arc::clone(pool))),
             Self::Config(_)
+            | Self::TargetRefused(..)
             | Self::MoveRecord(..)
             | Self::PoolVersions(..)
             | Self::MoveEvidence(..)
--- a/crates/dispatch/src/target_state.rs
+++ b/crates/dispatch/src/target_state.rs
@@ -76,6 +76,10 @@
 /// backoff, after which the target is tried again.
 const RESTART_SUSPICION: Duration = Duration::from_secs(5);
 
+/// Time for which the store tells all hosts that a target refused a connection. It is longer than [`RESTART_SUSPICION`], so that one
+/// write serves for several refusals.
+pub const SHARED_REFUSAL_TIME: Duration = Duration::from_secs(8);
+
 /// State of one target instance; a restart creates a new one.
 #[derive(Debug)]
 pub struct TargetState {
@@ -106,6 +110,8 @@
     cold_until_us: AtomicU64,
     /// Time until which the target may have started again since it refused a connection.
     restart_suspected_until_us: AtomicU64,
+    /// Time until which the store tells all hosts that the target refused a connection.
+    refusal_shared_until_us: AtomicU64,
     /// When requests were sent to the target while it was cold, for [`COLD_WINDOW`].
     cold_sends: Mutex<VecDeque<Duration>>,
 }
@@ -137,6 +143,7 @@
             idle_connections: AtomicU32::new(0),
             cold_until_us: AtomicU64::new(cold_until),
             restart_suspected_until_us: AtomicU64::new(0),
+            refusal_shared_until_us: AtomicU64::new(0),
             cold_sends: Mutex::default(),
         }
     }
@@ -284,6 +291,18 @@
         self.restart_suspected_until_us.fetch_max(micros(now + RESTART_SUSPICION), Relaxed);
     }
 
+    /// Records that the store tells all hosts of a refused connection from `now` on.
+    pub fn record_shared_refusal(&self, now: Duration) {
+        self.refusal_shared_until_us.fetch_max(micros(now + SHARED_REFUSAL_TIME), Relaxed);
+    }
+
+    /// Whether the target may have started again and the store does not tell all hosts for as long as this host takes it for so.
+    pub fn has_unshared_refusal(&self, now: Duration) -> bool {
+        let suspected_until = self.restart_suspected_until_us.load(Relaxed);
+        micros(now) < suspected_until
+            && self.refusal_shared_until_us.load(Relaxed) < suspected_until
+    }
+
     /// Updates the remaining cold time from a newer record, read at `now`.
     pub fn set_cold(&self, cold_remaining: Duration, now: Duration) {
         self.cold_until_us.store(micros(now.saturating_add(cold_remaining)), Relaxed);
--- a/crates/dispatch/tests/cold_targets.rs
+++ b/crates/dispatch/tests/cold_targets.rs
@@ -6,6 +6,7 @@
 
 use common::ms;
 use common::record;
+use vanillapick_dispatch::registry::StoreChange;
 use vanillapick_dispatch::target_state::TargetDistance;
 use vanillapick_dispatch::target_state::TargetState;
 
@@ -69,3 +70,31 @@
     let sent = send_all(&target, 3, 11_000, 14_000);
     assert_eq!(busiest_second(&sent), 3);
 }
+
+/// A refusal that the store tells of holds for all hosts, for the process that it is about. One write serves for several refusals.
+#[test]
+fn a_refusal_in_the_store_makes_the_target_count_as_cold() {
+    let config = common::config(1, Vec::new(), &["p"]);
+    let mut registry = common::registry(config, &[record("t1", "p", "a")]);
+    let view = registry.view().expect("there is a configuration");
+    let target = &view.pools["p"].targets[0];
+    let mut lines = String::new();
+    let mut describe = |name: &str, at: u64| {
+        let (is_cold, is_due) = (target.is_cold(ms(at)), target.has_unshared_refusal(ms(at)));
+        writeln!(lines, "{name}: cold {is_cold}, to be written {is_due}")
+            .expect("text can be written");
+    };
+    describe("before", 100);
+    registry.apply(StoreChange::TargetRefused("t1".into(), 900), ms(200));
+    describe("of an earlier process", 200);
+    registry.apply(StoreChange::TargetRefused("t1".into(), 1000), ms(300));
+    describe("of this process", 300);
+    target.record_refusal(ms(3200));
+    describe("a refusal while the item lasts", 3200);
+    target.record_refusal(ms(3400));
+    describe("a refusal that the item does not cover", 3400);
+    target.record_shared_refusal(ms(3450));
+    describe("written", 3450);
+    describe("5 s after the last", 8400);
+    insta::assert_snapshot!(lines);
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod move_tracker;
 pub mod parts_wire;
 pub mod process;
+mod refusal_exchange;
 pub mod relay_host;
 pub mod relay_server;
 pub mod request_flow;
--- a/crates/relay/src/relay_server.rs
+++ b/crates/relay/src/relay_server.rs
@@ -30,6 +30,7 @@
 use crate::parts_server::serve_parts;
 use crate::peer_changes::serve_changes;
 use crate::reach_monitor::watch_target_reach;
+use crate::refusal_exchange::share_refusals;
 use crate::relay_host::RelayHost;
 use crate::store_client::StoreClient;
 use crate::store_follower::follow_store;
@@ -78,6 +79,7 @@
             tokio::spawn(watch_crash_evidence(Arc::clone(&host), urgent, gossip)),
             tokio::spawn(publish_crash_evidence(Arc::clone(&host), store.clone(), urgent_marks)),
             tokio::spawn(gossip_crash_evidence(Arc::clone(&host), crash_news)),
+            tokio::spawn(share_refusals(Arc::clone(&host), store.clone())),
             tokio::spawn(run_moves(Arc::clone(&host), store)),
             tokio::spawn(measure_loop_delay(Arc::clone(&host))),
             tokio::spawn(report_dropped_lines(Arc::clone(&host))),
