Targets: the hosts' parts of a cold allowance add up to it

Cause: each host rounded its part down. With 63 hosts and 10 requests a second, no host sent anything to a cold target, so a shard whose targets had all started again answered nothing until they were warm or, without a registration, for 5 s.

Change: what cannot be divided equally goes to some hosts by their position among all registered hosts, which differs for each target.

--- a/crates/dispatch/src/dispatch_plan.rs
+++ b/crates/dispatch/src/dispatch_plan.rs
@@ -16,7 +16,7 @@
 use crate::config_document::RepeatRule;
 use crate::config_document::RouteContract;
 use crate::config_document::RoutePools;
-use crate::host_quota::cold_request_quota;
+use crate::host_quota::ColdAllowance;
 use crate::pool_state::RouteState;
 use crate::serving_view::PoolView;
 use crate::serving_view::ServingView;
@@ -736,9 +736,10 @@
     fn context(&self, pool: &PoolView, now: Duration) -> PickContext<'_> {
         PickContext {
             route: &self.route_state,
-            cold_allowance: cold_request_quota(
+            cold_allowance: ColdAllowance::new(
                 pool.contract.cold_requests_per_s,
                 self.view.host_count,
+                self.view.host_rank,
             ),
             now,
         }
--- a/crates/dispatch/src/registry.rs
+++ b/crates/dispatch/src/registry.rs
@@ -105,9 +105,11 @@
     pub revision: u64,
 }
 
-/// Failure domain of this host and the regions of all failure domains.
+/// Name and failure domain of this host, and the regions of all failure domains.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct HostLocation {
+    /// Name of this host.
+    pub host: HostId,
     /// Failure domain of this host.
     pub domain: String,
     /// Region by failure domain.
@@ -520,6 +522,7 @@
             location: Arc::clone(&self.location),
             top_priority: config.routes.iter().map(|route| route.priority).min().unwrap_or(0),
             host_count: self.counted_hosts().count().max(1),
+            host_rank: self.host_rank(),
             retry_limits: self.retry_limits,
         })
     }
@@ -550,6 +553,13 @@
         self.hosts.iter().chain(gone_hosts)
     }
 
+    /// Number of counted hosts whose names are before that of this host; `None` if it is not registered.
+    fn host_rank(&self) -> Option<usize> {
+        let own = &self.location.host;
+        let is_registered = self.hosts.contains_key(own);
+        is_registered.then(|| self.counted_hosts().filter(|(host, _)| *host < own).count())
+    }
+
     fn apply_target(&mut self, record: TargetRecord, was_expired: bool, now: Duration) -> bool {
         let id = Arc::clone(&record.id);
         let known = self.records.get(&id);
--- a/crates/dispatch/src/serving_view.rs
+++ b/crates/dispatch/src/serving_view.rs
@@ -29,6 +29,8 @@
     pub limits: CallerLimits,
     /// Number of hosts that share the limits of targets, including this one; at least 1.
     pub host_count: usize,
+    /// Position of this host among them by name; `None` if it is not registered.
+    pub host_rank: Option<usize>,
     /// Lease of this host, without which it has no share of them.
     pub host_lease: Arc<HostLease>,
     pub location: Arc<HostLocation>,
--- a/crates/dispatch/src/target_pick.rs
+++ b/crates/dispatch/src/target_pick.rs
@@ -5,6 +5,7 @@
 
 use rand::Rng;
 
+use crate::host_quota::ColdAllowance;
 use crate::pool_state::RouteState;
 use crate::target_state::TargetDistance;
 use crate::target_state::TargetState;
@@ -44,8 +45,8 @@
 pub struct PickContext<'a> {
     /// Latency estimates of the route.
     pub route: &'a RouteState,
-    /// Requests per second that this host may send to a cold target; `None` if cold targets take the usual load.
-    pub cold_allowance: Option<u32>,
+    /// Limit on requests to cold targets; `None` if they take the usual load.
+    pub cold_allowance: Option<ColdAllowance>,
     pub now: Duration,
 }
 
@@ -129,8 +130,8 @@
 
 fn has_cold_capacity(target: &TargetState, context: &PickContext<'_>) -> bool {
     match context.cold_allowance {
-        Some(allowed) if target.is_cold(context.now) => {
-            target.has_cold_capacity(allowed, context.now)
+        Some(allowance) if target.is_cold(context.now) => {
+            target.has_cold_capacity(allowance.quota(&target.record.id), context.now)
         }
         _ => true,
     }
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -44,6 +44,7 @@
 pub fn location() -> HostLocation {
     let regions = [("a", "east"), ("b", "east"), ("c", "west")];
     HostLocation {
+        host: "h1".into(),
         domain: "a".to_owned(),
         regions: regions.map(|(domain, region)| (domain.to_owned(), region.into())).into(),
     }
--- a/crates/dispatch/tests/registry.rs
+++ b/crates/dispatch/tests/registry.rs
@@ -122,6 +122,7 @@
 #[test]
 fn callers_of_another_region_are_expected_if_a_region_has_one_domain() {
     let location = |regions: &[(&str, &str)]| HostLocation {
+        host: "h1".into(),
         domain: "a".to_owned(),
         regions: regions
             .iter()
--- a/crates/dispatch/tests/target_pick.rs
+++ b/crates/dispatch/tests/target_pick.rs
@@ -12,9 +12,10 @@
 use vanillapick_dispatch::attempt::AttemptOutcome;
 use vanillapick_dispatch::attempt::NotRunCause;
 use vanillapick_dispatch::config_document::RepeatRule;
-use vanillapick_dispatch::host_quota::cold_request_quota;
+use vanillapick_dispatch::host_quota::ColdAllowance;
 use vanillapick_dispatch::host_quota::connection_quota;
 use vanillapick_dispatch::pool_state::RouteState;
+use vanillapick_dispatch::registry::StoreChange;
 use vanillapick_dispatch::serving_view::ServingView;
 use vanillapick_dispatch::target_pick::PickContext;
 use vanillapick_dispatch::target_pick::pick_target;
@@ -81,15 +82,47 @@
         let share = connection_quota(connections, hosts);
         lines.push_str(&format!("{connections} connections, {hosts} hosts: {share}\n"));
     }
-    for (rate, hosts) in [(0.0, 6), (12.0, 6), (3.0, 6)] {
-        lines.push_str(&format!(
-            "{rate} cold a second, {hosts} hosts: {:?}\n",
-            cold_request_quota(rate, hosts)
-        ));
+    insta::assert_snapshot!(lines);
+}
+
+/// Guards against cold targets that get nothing, because each host rounds its part down.
+#[test]
+fn parts_of_a_cold_allowance_add_up_to_all_of_it() {
+    let mut lines = String::new();
+    for (rate, hosts) in [(0.0, 6), (12.0, 6), (3.0, 6), (10.0, 63), (0.5, 6)] {
+        for target in ["t1", "t2"] {
+            let quota = |rank: Option<usize>| {
+                let allowance = ColdAllowance::new(rate, hosts, rank)?;
+                Some(allowance.quota(&target.into()))
+            };
+            let quotas: Option<Vec<u32>> = (0..hosts).map(|rank| quota(Some(rank))).collect();
+            let spread = quotas.map(|quotas| {
+                let (least, most) = (quotas.iter().min(), quotas.iter().max());
+                (quotas.iter().sum::<u32>(), least.copied(), most.copied())
+            });
+            let unregistered = quota(None);
+            lines.push_str(&format!(
+                "{rate} a second, {hosts} hosts, {target}: {spread:?}, unregistered {unregistered:?}\n"
+            ));
+        }
     }
     insta::assert_snapshot!(lines);
 }
 
+/// All hosts have to agree on their positions.
+#[test]
+fn hosts_have_positions_by_name() {
+    let mut registry = common::registry(common::config(1, Vec::new(), &["p"]), &[]);
+    let mut ranks = Vec::new();
+    for (host, is_there) in [("h2", true), ("h1", true), ("h0", true), ("h0", false), ("h1", false)]
+    {
+        let record = is_there.then(|| common::host_record("a", 1));
+        registry.apply(StoreChange::Host(host.into(), record), ms(0));
+        ranks.push(registry.view().expect("there is a configuration").host_rank);
+    }
+    assert_eq!(ranks, [None, Some(0), Some(1), Some(1), None]);
+}
+
 /// No priority may be refused while a less urgent one is admitted.
 #[test]
 fn urgent_requests_are_refused_last() {
--- a/crates/relay/src/relay_server.rs
+++ b/crates/relay/src/relay_server.rs
@@ -132,7 +132,11 @@
 pub(crate) fn host_location(settings: &RelaySettings) -> HostLocation {
     let regions = settings.regions.iter();
     let regions = regions.map(|(domain, region)| (domain.clone(), RegionId::from(region.as_str())));
-    HostLocation { domain: settings.domain.clone(), regions: regions.collect() }
+    HostLocation {
+        host: Arc::from(settings.host.as_str()),
+        domain: settings.domain.clone(),
+        regions: regions.collect(),
+    }
 }
 
 fn retry_budget_limits(settings: &RelaySettings) -> RetryBudgetLimits {
