--- a/crates/policy/src/version_move.rs
+++ b/crates/policy/src/version_move.rs
@@ -78,8 +78,8 @@
 /// done. With fewer, a service may simply have too few requests to learn anything.
 const MIN_EXPECTED_REQUESTS: f64 = 5.0;
 
-/// The same for requests since the last answer. Every update of the share looks for such a gap, and with this number one in three
-/// million is a chance.
+/// The same for requests since the last answer. It is larger because every update of the share looks for such a gap: a version that
+/// answers has one by chance once in three million updates.
 const MIN_EXPECTED_SINCE_ANSWER: f64 = 15.0;
 
 /// Reason to take a move back that has had no answer from the new version until its end.
@@ -228,11 +228,11 @@
     current
 }
 
-/// Time since the new version last answered, measured by the requests at the old version.
+/// Requests without an answer of the new version, measured by those at the old version.
 struct AnswerGap {
     /// Whether the new version has ever answered.
     has_answered: bool,
-    /// Requests at the old version since the last answer.
+    /// Requests at the old version since the last answer of the new one, or since the start of the move.
     old_requests: u64,
 }
 
--- a/crates/relay/src/refusal_exchange.rs
+++ b/crates/relay/src/refusal_exchange.rs
@@ -17,12 +17,12 @@
 use crate::store_client::StoreError;
 
 /// Interval at which a host looks for refusals that the store lacks.
-const POLL_PERIOD: Duration = Duration::from_millis(50);
+const POLL_PERIOD: Duration = Duration::from_millis(100);
 
-/// Delay of a write that any host can make, for each host, so that one or few of them do.
+/// Random delay of a write that any host can make, for each host, so that one or few of them do.
 const WRITE_DELAY: Duration = Duration::from_millis(20);
 
-/// Lower and upper bound of the maximum of that delay. A target is down for longer than the latter.
+/// Lower and upper bound of the longest delay. A process takes longer than the latter to end and start again.
 const WRITE_DELAY_BOUNDS: (Duration, Duration) =
     (Duration::from_millis(100), Duration::from_millis(800));
 
@@ -42,8 +42,9 @@
         let unshared = unshared_targets(&view, now);
         due.retain(|id, _| unshared.iter().any(|target| target.record.id == *id));
         for target in &unshared {
-            let delay = max_delay(&view).mul_f64(host.rng().random());
-            due.entry(Arc::clone(&target.record.id)).or_insert(now + delay);
+            let id = Arc::clone(&target.record.id);
+            due.entry(id)
+                .or_insert_with(|| now + longest_delay(&view).mul_f64(host.rng().random()));
         }
         let is_due =
             |target: &&Arc<TargetState>| due.get(&target.record.id).is_some_and(|due| *due <= now);
@@ -71,7 +72,7 @@
     targets.filter(|target| target.has_unshared_refusal(now)).cloned().collect()
 }
 
-fn max_delay(view: &RelayView) -> Duration {
+fn longest_delay(view: &RelayView) -> Duration {
     let hosts = u32::try_from(view.serving.host_count).unwrap_or(u32::MAX);
     let (least, most) = WRITE_DELAY_BOUNDS;
     WRITE_DELAY.saturating_mul(hosts).clamp(least, most)
