Groups: second attempts wait for a confirmation of the first message

Cause: the owner of a group took it for heard 5 ms after its first message (40 ms between regions) unless the connection was closed by then.

Ruled out by the trace: the second owner does know of the first one's attempt; askers were not late.

Change: the asker confirms the first message, and from then on asks no other host for the group. Owners send second attempts after that alone. Askers of earlier builds confirm nothing, so they get first attempts only.

--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod log_limiter;
 pub mod host_registration;
 pub mod move_tracker;
+mod parts_confirmation;
 pub mod parts_wire;
 pub mod process;
 mod refusal_exchange;
--- a/crates/relay/src/parts_client.rs
+++ b/crates/relay/src/parts_client.rs
@@ -11,6 +11,7 @@
 use hyper::body::Incoming;
 use hyper::header::HOST;
 use hyper::header::HeaderValue;
+use rand::Rng;
 use vanillapick_dispatch::host_record::HostId;
 use vanillapick_dispatch::shard_groups::pick_owner;
 
@@ -18,6 +19,9 @@
 use crate::kept_connection::KeptConnection;
 use crate::part_peers::GroupInFlight;
 use crate::part_peers::PartPeer;
+use crate::parts_confirmation::ConfirmationId;
+use crate::parts_confirmation::announce;
+use crate::parts_confirmation::confirm;
 use crate::parts_wire::CUT_OFF_HEADER;
 use crate::parts_wire::MessageReader;
 use crate::parts_wire::PARTS_PATH;
@@ -96,7 +100,9 @@
         let encoded = encoded.map_err(GroupFailure::NotStarted)?;
         let left = ends_at.saturating_sub(now);
         let wait = if request.prior_attempts == 0 { timeout.min(left) } else { left };
-        let asking = ask(&host, Arc::clone(&peer), request.request_id.clone(), encoded);
+        let confirmation = host.rng().random();
+        let asking =
+            ask(&host, Arc::clone(&peer), request.request_id.clone(), encoded, confirmation);
         let mut asking = std::pin::pin!(asking);
         let mut asked = tokio::time::timeout(wait, asking.as_mut()).await;
         for _ in 0..READ_TURNS {
@@ -113,6 +119,9 @@
         let failure = match asked {
             Ok(progress) => {
                 peer.record_success();
+                if progress.1.is_some() {
+                    tokio::spawn(confirm(Arc::clone(&host), peer, confirmation));
+                }
                 return Ok(progress);
             }
             Err(failure) => failure,
@@ -150,6 +159,7 @@
     peer: Arc<PartPeer>,
     request_id: Bytes,
     request: Bytes,
+    confirmation: ConfirmationId,
 ) -> GroupProgress {
     let in_flight = peer.start_group();
     loop {
@@ -159,7 +169,7 @@
             Some(connection) => connection,
             None => peer.open(host.now()).await.map_err(GroupFailure::NotStarted)?,
         };
-        let response = match connection.send(parts_call(request.clone())).await {
+        let response = match connection.send(parts_call(request.clone(), confirmation)).await {
             Ok(response) => response,
             Err(ExchangeError::Unsent) if !is_new => continue,
             Err(ExchangeError::Unsent) => {
@@ -215,10 +225,11 @@
     }
 }
 
-fn parts_call(request: Bytes) -> Request<Full<Bytes>> {
+fn parts_call(request: Bytes, confirmation: ConfirmationId) -> Request<Full<Bytes>> {
     let mut call = Request::new(Full::new(request));
     *call.method_mut() = Method::POST;
     *call.uri_mut() = hyper::Uri::from_static(PARTS_PATH);
     call.headers_mut().insert(HOST, HOST_VALUE);
+    announce(&mut call, confirmation);
     call
 }
--- a/crates/relay/src/parts_server.rs
+++ b/crates/relay/src/parts_server.rs
@@ -47,6 +47,8 @@
 use crate::forward_server::answer_reach;
 use crate::forward_wire::FORWARD_PATH;
 use crate::forward_wire::REACH_PATH;
+use crate::parts_confirmation::CONFIRM_PATH;
+use crate::parts_confirmation::GroupConfirmation;
 use crate::parts_wire::CUT_OFF_HEADER;
 use crate::parts_wire::PartsMessage;
 use crate::parts_wire::PartsRequest;
@@ -137,6 +139,13 @@
         FORWARD_PATH => return whole(answer_forward(&host, request).await),
         REACH_PATH => return whole(answer_reach(&host).await),
         EVIDENCE_PATH => return answer_evidence(&host, request).await,
+        CONFIRM_PATH => {
+            let is_expected = host.confirmations.confirm(request.headers());
+            let result = if is_expected { "confirmed" } else { "not_expected" };
+            metrics::counter!("vanillapick_groups_confirmed_total", "result" => result)
+                .increment(1);
+            return whole(Bytes::new());
+        }
         _ => {}
     }
     match start(&host, request).await {
@@ -196,6 +205,7 @@
         return Err((StatusCode::SERVICE_UNAVAILABLE, "no_config"));
     };
     let lag = host.read_lag();
+    let confirmation = GroupConfirmation::expect(host, request.headers());
     let limit = view.serving.limits.max_body_bytes.saturating_add(EXTRA_REQUEST_BYTES);
     let body = Limited::new(request.into_body(), limit).collect().await;
     let body = body.map_err(|_| (StatusCode::BAD_REQUEST, "body_cut"))?.to_bytes();
@@ -204,7 +214,7 @@
     if request.version != view.serving.version {
         return Err((StatusCode::CONFLICT, "other_version"));
     }
-    let gathering = Gathering::new(host, view, request, lag);
+    let gathering = Gathering::new(host, view, request, lag, confirmation);
     gathering.ok_or((StatusCode::BAD_REQUEST, "malformed"))
 }
 
@@ -225,8 +235,9 @@
     reported_failed: Vec<bool>,
     /// When the first message was sent.
     first_sent: Option<Duration>,
-    confirm_after: Duration,
-    /// Second attempts that wait until the sender of the request may have closed the connection.
+    /// Whether the sender of the request has the first message, so that it will not ask another host for the group.
+    confirmation: GroupConfirmation,
+    /// Second attempts that wait for that.
     held: Vec<SendCommand>,
 }
 
@@ -237,6 +248,7 @@
         view: Arc<RelayView>,
         asked: PartsRequest,
         lag: Duration,
+        confirmation: GroupConfirmation,
     ) -> Option<Self> {
         let route = Arc::clone(view.serving.route_table.get(&asked.route)?);
         let now = host.now();
@@ -278,7 +290,7 @@
             attempts: FuturesUnordered::new(),
             gathered: Vec::new(),
             first_sent: None,
-            confirm_after: asked.confirm_after,
+            confirmation,
             held: Vec::new(),
         })
     }
@@ -293,11 +305,7 @@
             if self.plan.open_count() == 0 || self.times.deadline <= now {
                 break true;
             }
-            let wake = match self.confirmed_at() {
-                None => self.plan.next_wake(now).min(self.first_message),
-                Some(at) if now < at => at,
-                Some(_) => self.plan.next_wake(now),
-            };
+            let wake = self.next_wake(now);
             tokio::select! {
                 biased;
                 () = messages.closed() => break false,
@@ -306,6 +314,7 @@
                         break false;
                     }
                 }
+                () = self.confirmation.receive() => self.send_held(),
                 () = tokio::time::sleep(wake.saturating_sub(now)) => {
                     if !self.on_wake(&messages).await {
                         break false;
@@ -351,23 +360,29 @@
             return false;
         }
         self.held.extend(command);
-        self.send_held(now);
+        self.send_held();
         true
     }
 
-    /// Sends the second attempts that were held, if they may be sent by now; returns whether they may.
-    fn send_held(&mut self, now: Duration) -> bool {
-        let is_confirmed = self.confirmed_at().is_some_and(|at| at <= now);
-        if is_confirmed {
+    /// Sends the second attempts that were held, if they may be sent by now.
+    fn send_held(&mut self) {
+        if self.confirmation.is_received() {
             let held = std::mem::take(&mut self.held);
             self.send(held);
         }
-        is_confirmed
     }
 
-    /// Time from which second attempts may be sent; `None` before the first message.
-    fn confirmed_at(&self) -> Option<Duration> {
-        self.first_sent.map(|sent| sent.saturating_add(self.confirm_after))
+    /// Next time to call [`Self::on_wake`].
+    fn next_wake(&self, now: Duration) -> Duration {
+        if self.first_sent.is_none() {
+            return self.plan.next_wake(now).min(self.first_message);
+        }
+        if self.confirmation.is_received() {
+            return self.plan.next_wake(now);
+        }
+        // Hedges wait for the confirmation, parts that were gathered do not.
+        let is_past = self.times.soft_deadline <= now;
+        if is_past { self.times.deadline } else { self.times.soft_deadline }
     }
 
     /// Sends the message and the hedges that are due; returns whether the sender of the request still listens.
@@ -379,7 +394,8 @@
         {
             return false;
         }
-        if self.send_held(now) {
+        self.send_held();
+        if self.confirmation.is_received() {
             self.plan.set_repeats_held(self.request.is_suspect());
             let commands = self.plan.on_wake(now, &mut self.rng);
             self.send(commands);
--- a/crates/relay/src/parts_wire.rs
+++ b/crates/relay/src/parts_wire.rs
@@ -39,8 +39,8 @@
     pub shards: Vec<usize>,
     /// Attempts that an earlier owner may have made for each shard.
     pub prior_attempts: u32,
-    /// Time from the first message until second attempts may be sent. If the sender has given the receiver up meanwhile, its
-    /// close of the connection has arrived by then.
+    /// Time from the first message until an owner of an earlier version sends second attempts. Others wait for the confirmation
+    /// (`parts_confirmation`).
     pub confirm_after: Duration,
     /// Time until the first message is due.
     pub first_message: Duration,
--- a/crates/relay/src/relay_host.rs
+++ b/crates/relay/src/relay_host.rs
@@ -28,6 +28,7 @@
 use crate::log_limiter::LogLimiter;
 use crate::move_tracker::MoveTracker;
 use crate::part_peers::PartPeerTable;
+use crate::parts_confirmation::ExpectedConfirmations;
 use crate::relay_server::host_location;
 use crate::wire::PlatformWire;
 use crate::wire::StoreEra;
@@ -57,6 +58,7 @@
     pub(crate) reach: TargetReach,
     /// Requests that crash targets.
     pub(crate) crash_state: CrashState,
+    pub(crate) confirmations: ExpectedConfirmations,
     /// Memory for the bodies of targets' replies.
     pub(crate) reply_memory: Arc<ReplyMemory>,
     view: ArcSwapOption<RelayView>,
@@ -131,6 +133,7 @@
             changes: ChangeLog::default(),
             reach: TargetReach::default(),
             crash_state: CrashState::default(),
+            confirmations: ExpectedConfirmations::default(),
             view: ArcSwapOption::empty(),
             started: Instant::now(),
             phase: watch::Sender::new(HostPhase::Serving),
--- a/crates/relay/src/request_flow/group_flow.rs
+++ b/crates/relay/src/request_flow/group_flow.rs
@@ -77,6 +77,11 @@
         let shards = self.groups[number].shards.clone();
         let failure = match progress {
             Ok((message, call)) => match self.read_stamps(&message, &shards) {
+                // The owner has its confirmation, and with it the second attempts.
+                None if call.is_some() => {
+                    self.gathered.groups.insert(number);
+                    GroupFailure::Lost("a message has parts that were not asked for".into())
+                }
                 Some(stamps) => {
                     let is_over = call.is_none();
                     if let Some(call) = call {
