--- a/crates/relay/src/parts_confirmation.rs
+++ b/crates/relay/src/parts_confirmation.rs
@@ -79,7 +79,7 @@
     /// Waits for the confirmation, for ever if there is none or it has been received.
     pub(crate) async fn receive(&mut self) {
         let Some(receiver) = &mut self.received else { return std::future::pending().await };
-        // The sender is dropped together with this.
+        // An error says that another request has announced the same id; that is no confirmation.
         self.is_received = receiver.await.is_ok();
         self.received = None;
     }
