Relay: one constructor for calls to other hosts

The confirmation of a group built its call as four other places do: method, path and the same host name. They share peer_call. Behaviour is unchanged.

--- a/crates/relay/src/crash_exchange.rs
+++ b/crates/relay/src/crash_exchange.rs
@@ -5,11 +5,8 @@
 use std::time::Duration;
 
 use futures_util::future::join_all;
-use http_body_util::Full;
 use hyper::Method;
-use hyper::Request;
 use hyper::StatusCode;
-use hyper::header::HOST;
 use rand::Rng;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::mpsc::UnboundedSender;
@@ -25,7 +22,7 @@
 use crate::crash_wire::EVIDENCE_PATH;
 use crate::crash_wire::encode_evidence;
 use crate::part_peers::PartPeer;
-use crate::parts_client::HOST_VALUE;
+use crate::part_peers::peer_call;
 use crate::relay_host::RelayHost;
 use crate::store_client::StoreClient;
 use crate::store_client::StoreError;
@@ -429,10 +426,7 @@
 }
 
 async fn send(host: &Arc<RelayHost>, peer: &Arc<PartPeer>, message: bytes::Bytes) {
-    let mut call = Request::new(Full::new(message));
-    *call.method_mut() = Method::POST;
-    *call.uri_mut() = hyper::Uri::from_static(EVIDENCE_PATH);
-    call.headers_mut().insert(HOST, HOST_VALUE);
+    let call = peer_call(Method::POST, EVIDENCE_PATH, message);
     let sending = tokio::time::timeout(MESSAGE_TIMEOUT, peer.tell(call, || host.now()));
     let result = match sending.await {
         Ok(Ok(status)) if status.is_success() => "told",
--- a/crates/relay/src/forward_client.rs
+++ b/crates/relay/src/forward_client.rs
@@ -8,10 +8,8 @@
 use bytes::BytesMut;
 use http_body_util::Full;
 use hyper::Method;
-use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
-use hyper::header::HOST;
 use vanillapick_dispatch::config_document::DomainId;
 use vanillapick_dispatch::config_document::RouteContract;
 use vanillapick_dispatch::forward_pick::ForwardCandidate;
@@ -28,7 +26,7 @@
 use crate::forward_wire::ForwardRequest;
 use crate::kept_connection::ExchangeError;
 use crate::part_peers::PartPeer;
-use crate::parts_client::HOST_VALUE;
+use crate::part_peers::peer_call;
 use crate::parts_wire::decode_headers;
 use crate::relay_host::RelayHost;
 use crate::relay_host::RelayView;
@@ -179,17 +177,18 @@
             Some(connection) => connection,
             None => peer.open(host.now()).await.map_err(ForwardFailure::NotStarted)?,
         };
-        let response = match connection.send(forward_call(encoded.clone())).await {
-            Ok(response) => response,
-            Err(ExchangeError::Unsent) if !is_new => continue,
-            Err(ExchangeError::Unsent) => {
-                let detail = "the host closed the connection".to_owned();
-                return Err(ForwardFailure::NotStarted(detail));
-            }
-            Err(ExchangeError::Lost(detail) | ExchangeError::Malformed(detail)) => {
-                return Err(ForwardFailure::Lost(detail));
-            }
-        };
+        let response =
+            match connection.send(peer_call(Method::POST, FORWARD_PATH, encoded.clone())).await {
+                Ok(response) => response,
+                Err(ExchangeError::Unsent) if !is_new => continue,
+                Err(ExchangeError::Unsent) => {
+                    let detail = "the host closed the connection".to_owned();
+                    return Err(ForwardFailure::NotStarted(detail));
+                }
+                Err(ExchangeError::Lost(detail) | ExchangeError::Malformed(detail)) => {
+                    return Err(ForwardFailure::Lost(detail));
+                }
+            };
         if response.status() != StatusCode::OK {
             // Hosts of earlier versions do not know the endpoint.
             return Err(ForwardFailure::NotStarted(response.status().to_string()));
@@ -231,14 +230,6 @@
     Ok(response)
 }
 
-fn forward_call(body: Bytes) -> Request<Full<Bytes>> {
-    let mut call = Request::new(Full::new(body));
-    *call.method_mut() = Method::POST;
-    *call.uri_mut() = hyper::Uri::from_static(FORWARD_PATH);
-    call.headers_mut().insert(HOST, HOST_VALUE);
-    call
-}
-
 fn count(result: &'static str) {
     metrics::counter!("vanillapick_forwards_total", "result" => result).increment(1);
 }
--- a/crates/relay/src/part_peers.rs
+++ b/crates/relay/src/part_peers.rs
@@ -14,8 +14,12 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
+use hyper::Method;
 use hyper::Request;
 use hyper::StatusCode;
+use hyper::Uri;
+use hyper::header::HOST;
+use hyper::header::HeaderValue;
 use rand::Rng;
 use rand::seq::SliceRandom;
 use tokio::net::TcpStream;
@@ -103,6 +107,15 @@
     }
 }
 
+/// Call of an endpoint for other hosts. The receiver does not use the host name.
+pub(crate) fn peer_call(method: Method, path: &'static str, body: Bytes) -> Request<Full<Bytes>> {
+    let mut call = Request::new(Full::new(body));
+    *call.method_mut() = method;
+    *call.uri_mut() = Uri::from_static(path);
+    call.headers_mut().insert(HOST, HeaderValue::from_static("peer"));
+    call
+}
+
 impl PartPeer {
     fn new(host: &HostId, address: SocketAddr) -> Self {
         Self {
--- a/crates/relay/src/parts_client.rs
+++ b/crates/relay/src/parts_client.rs
@@ -9,8 +9,6 @@
 use hyper::Request;
 use hyper::StatusCode;
 use hyper::body::Incoming;
-use hyper::header::HOST;
-use hyper::header::HeaderValue;
 use rand::Rng;
 use vanillapick_dispatch::host_record::HostId;
 use vanillapick_dispatch::shard_groups::pick_owner;
@@ -19,6 +17,7 @@
 use crate::kept_connection::KeptConnection;
 use crate::part_peers::GroupInFlight;
 use crate::part_peers::PartPeer;
+use crate::part_peers::peer_call;
 use crate::parts_confirmation::ConfirmationId;
 use crate::parts_confirmation::announce;
 use crate::parts_confirmation::confirm;
@@ -45,9 +44,6 @@
 /// Size limit of all messages of a group.
 const MAX_REPLY_BYTES: usize = 4 << 20;
 
-/// Host name in the head of the calls; the receiver does not use it.
-pub(crate) const HOST_VALUE: HeaderValue = HeaderValue::from_static("peer");
-
 /// Reason why a group was not gathered by another host.
 #[derive(Debug)]
 pub(crate) enum GroupFailure {
@@ -226,10 +222,7 @@
 }
 
 fn parts_call(request: Bytes, confirmation: ConfirmationId) -> Request<Full<Bytes>> {
-    let mut call = Request::new(Full::new(request));
-    *call.method_mut() = Method::POST;
-    *call.uri_mut() = hyper::Uri::from_static(PARTS_PATH);
-    call.headers_mut().insert(HOST, HOST_VALUE);
+    let mut call = peer_call(Method::POST, PARTS_PATH, request);
     announce(&mut call, confirmation);
     call
 }
--- a/crates/relay/src/parts_confirmation.rs
+++ b/crates/relay/src/parts_confirmation.rs
@@ -15,13 +15,12 @@
 use hyper::HeaderMap;
 use hyper::Method;
 use hyper::Request;
-use hyper::header::HOST;
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
 use tokio::sync::oneshot;
 
 use crate::part_peers::PartPeer;
-use crate::parts_client::HOST_VALUE;
+use crate::part_peers::peer_call;
 use crate::relay_host::RelayHost;
 
 /// Path of the endpoint.
@@ -104,10 +103,7 @@
 
 /// Tells the owner of a group that its first message has arrived.
 pub(crate) async fn confirm(host: Arc<RelayHost>, peer: Arc<PartPeer>, id: ConfirmationId) {
-    let mut call = Request::new(Full::new(Bytes::new()));
-    *call.method_mut() = Method::POST;
-    *call.uri_mut() = hyper::Uri::from_static(CONFIRM_PATH);
-    call.headers_mut().insert(HOST, HOST_VALUE);
+    let mut call = peer_call(Method::POST, CONFIRM_PATH, Bytes::new());
     announce(&mut call, id);
     let told = peer.tell(call, || host.now()).await;
     let result = if told.is_ok_and(|status| status.is_success()) { "told" } else { "failed" };
--- a/crates/relay/src/reach_monitor.rs
+++ b/crates/relay/src/reach_monitor.rs
@@ -3,11 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use futures_util::future::join_all;
-use http_body_util::Full;
 use hyper::Method;
-use hyper::Request;
-use hyper::header::HOST;
 use vanillapick_dispatch::target_reach::LinkState;
 use vanillapick_dispatch::target_reach::REACH_TICK;
 use vanillapick_dispatch::target_reach::ReachChange;
@@ -19,7 +17,7 @@
 use crate::forward_wire::REACH_PATH;
 use crate::forward_wire::decode_link_state;
 use crate::part_peers::PartPeer;
-use crate::parts_client::HOST_VALUE;
+use crate::part_peers::peer_call;
 use crate::relay_host::RelayHost;
 use crate::relay_host::RelayView;
 use crate::request_flow::millis;
@@ -123,10 +121,7 @@
         Some(connection) => connection,
         None => peer.open(host.now()).await.ok()?,
     };
-    let mut call = Request::new(Full::default());
-    *call.method_mut() = Method::GET;
-    *call.uri_mut() = hyper::Uri::from_static(REACH_PATH);
-    call.headers_mut().insert(HOST, HOST_VALUE);
+    let call = peer_call(Method::GET, REACH_PATH, Bytes::new());
     let mut body = connection.send(call).await.ok()?.into_body();
     connection.allow(MAX_ANSWER_BYTES);
     let mut answer = Vec::new();
