Policy: recent counts of a move are summed once

The gap since the last answer and the tests of recent windows each summed the buckets of all hosts at every update of a share. Both take the same sums now.

--- a/crates/policy/src/version_move.rs
+++ b/crates/policy/src/version_move.rs
@@ -7,6 +7,7 @@
 
 pub mod evidence;
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
@@ -149,7 +150,8 @@
 /// Computes the status of the move `row` at `wall` from the merged evidence of all hosts.
 pub fn move_status(row: &MoveRow, wall: SystemTime, evidence: &MoveEvidence) -> MoveStatus {
     let total = evidence.total();
-    let gap = AnswerGap::new(evidence, &total);
+    let recent = evidence.recent();
+    let gap = AnswerGap::new(&recent, &total);
     let elapsed = elapsed_fraction(row, wall);
     let step = elapsed.map(|elapsed| current_step(elapsed, &total, &gap));
     let thin_evidence = step.is_some_and(|step| total.new.requests < step.requests);
@@ -160,7 +162,7 @@
         MoveState::TakenBack { reason } => Some(reason.clone()),
         _ => evidence.taken_back.clone(),
     };
-    let reason = known.or_else(|| find_rollback_reason(row, evidence, &total));
+    let reason = known.or_else(|| find_rollback_reason(row, &recent, &total));
     if let Some(reason) = reason {
         let decision = MoveDecision::TakenBack(reason);
         return MoveStatus { share: 0.0, thin_evidence, summary, decision };
@@ -237,11 +239,10 @@
 }
 
 impl AnswerGap {
-    fn new(evidence: &MoveEvidence, total: &PairCounts) -> Self {
+    fn new(recent: &BTreeMap<u64, PairCounts>, total: &PairCounts) -> Self {
         if answers(&total.new) == 0 {
             return Self { has_answered: false, old_requests: total.old.requests };
         }
-        let recent = evidence.recent();
         let since = recent.values().rev().take_while(|counts| answers(&counts.new) == 0);
         Self { has_answered: true, old_requests: since.map(|counts| counts.old.requests).sum() }
     }
@@ -271,7 +272,7 @@
 /// shares of 1 / (n (n + 1)), which sum to 1, so the end of monitoring need not be known.
 fn find_rollback_reason(
     row: &MoveRow,
-    evidence: &MoveEvidence,
+    recent: &BTreeMap<u64, PairCounts>,
     total: &PairCounts,
 ) -> Option<String> {
     for test in [&FAILED, &SLOW] {
@@ -279,7 +280,6 @@
             return Some(rollback_reason(test, total, "over the whole move"));
         }
     }
-    let recent = evidence.recent();
     let last = recent.last_key_value().map_or(0, |(bucket, _)| *bucket);
     let mut window = PairCounts::default();
     for (bucket, counts) in recent.iter().rev() {
