Groups: a confirmed group is marked where its call is known, and the owner's time of the first message is a flag

The failure for parts that were not asked for stood twice, once for confirmed groups. Only whether the first message was sent is still asked, not when. The endpoint of confirmations counts where it passes them on. Behaviour is unchanged.

--- a/crates/relay/src/parts_confirmation.rs
+++ b/crates/relay/src/parts_confirmation.rs
@@ -52,10 +52,12 @@
         self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Passes a confirmation on; returns whether a group waited for it.
-    pub(crate) fn confirm(&self, headers: &HeaderMap) -> bool {
+    /// Passes a confirmation on to its group, if that has not ended.
+    pub(crate) fn confirm(&self, headers: &HeaderMap) {
         let waiting = read_id(headers).and_then(|id| self.waiting().remove(&id));
-        waiting.is_some_and(|waiting| waiting.send(()).is_ok())
+        let is_expected = waiting.is_some_and(|waiting| waiting.send(()).is_ok());
+        let result = if is_expected { "confirmed" } else { "not_expected" };
+        metrics::counter!("vanillapick_groups_confirmed_total", "result" => result).increment(1);
     }
 }
 
--- a/crates/relay/src/parts_server.rs
+++ b/crates/relay/src/parts_server.rs
@@ -140,10 +140,7 @@
         REACH_PATH => return whole(answer_reach(&host).await),
         EVIDENCE_PATH => return answer_evidence(&host, request).await,
         CONFIRM_PATH => {
-            let is_expected = host.confirmations.confirm(request.headers());
-            let result = if is_expected { "confirmed" } else { "not_expected" };
-            metrics::counter!("vanillapick_groups_confirmed_total", "result" => result)
-                .increment(1);
+            host.confirmations.confirm(request.headers());
             return whole(Bytes::new());
         }
         _ => {}
@@ -233,8 +230,8 @@
     gathered: Vec<(usize, HeaderValue, Bytes)>,
     /// Shards within the group that were reported as failed.
     reported_failed: Vec<bool>,
-    /// When the first message was sent.
-    first_sent: Option<Duration>,
+    /// Whether the first message was sent.
+    is_first_sent: bool,
     /// Whether the sender of the request has the first message, so that it will not ask another host for the group.
     confirmation: GroupConfirmation,
     /// Second attempts that wait for that.
@@ -289,7 +286,7 @@
             rng,
             attempts: FuturesUnordered::new(),
             gathered: Vec::new(),
-            first_sent: None,
+            is_first_sent: false,
             confirmation,
             held: Vec::new(),
         })
@@ -354,7 +351,7 @@
             self.gathered.push((shard, stamp, reply.body));
         }
         // The sender counts on a message before any second attempt.
-        let is_due = command.is_some() && self.first_sent.is_none();
+        let is_due = command.is_some() && !self.is_first_sent;
         let is_late = self.times.soft_deadline <= now && !self.gathered.is_empty();
         if (is_due || is_late) && !self.send_message(messages, false).await {
             return false;
@@ -374,7 +371,7 @@
 
     /// Next time to call [`Self::on_wake`].
     fn next_wake(&self, now: Duration) -> Duration {
-        if self.first_sent.is_none() {
+        if !self.is_first_sent {
             return self.plan.next_wake(now).min(self.first_message);
         }
         if self.confirmation.is_received() {
@@ -389,9 +386,7 @@
     async fn on_wake(&mut self, messages: &mpsc::Sender<Bytes>) -> bool {
         let now = self.request.host.now();
         let is_soft_deadline = self.times.soft_deadline <= now && !self.gathered.is_empty();
-        if (self.first_sent.is_none() || is_soft_deadline)
-            && !self.send_message(messages, false).await
-        {
+        if (!self.is_first_sent || is_soft_deadline) && !self.send_message(messages, false).await {
             return false;
         }
         self.send_held();
@@ -405,7 +400,7 @@
 
     /// Sends what was gathered since the last message; returns whether the sender of the request still listens.
     async fn send_message(&mut self, messages: &mpsc::Sender<Bytes>, is_last: bool) -> bool {
-        self.first_sent.get_or_insert(self.request.host.now());
+        self.is_first_sent = true;
         let RoutePools::Sharded(sharded) = &self.route.pools else { return false };
         let gathered = std::mem::take(&mut self.gathered);
         let bodies: Vec<Bytes> = gathered.iter().map(|(_, _, body)| body.clone()).collect();
--- a/crates/relay/src/request_flow/group_flow.rs
+++ b/crates/relay/src/request_flow/group_flow.rs
@@ -27,8 +27,8 @@
     pub(super) stamps: Vec<HeaderValue>,
     /// Records of each message; together they contain the greatest ones of all stamped parts.
     pub(super) records: Vec<Bytes>,
-    /// Groups that have sent a message.
-    groups: BTreeSet<usize>,
+    /// Groups whose first message was confirmed, so that their owners have the second attempts.
+    confirmed_groups: BTreeSet<usize>,
 }
 
 impl RequestFlow {
@@ -76,28 +76,25 @@
     pub(super) fn on_progress(&mut self, number: usize, progress: GroupProgress) {
         let shards = self.groups[number].shards.clone();
         let failure = match progress {
-            Ok((message, call)) => match self.read_stamps(&message, &shards) {
-                // The owner has its confirmation, and with it the second attempts.
-                None if call.is_some() => {
-                    self.gathered.groups.insert(number);
-                    GroupFailure::Lost("a message has parts that were not asked for".into())
+            Ok((message, call)) => {
+                if call.is_some() {
+                    self.gathered.confirmed_groups.insert(number);
                 }
-                Some(stamps) => {
+                if let Some(stamps) = self.read_stamps(&message, &shards) {
                     let is_over = call.is_none();
                     if let Some(call) = call {
                         let host = Arc::clone(&self.request.host);
                         let next = async move { (number, continue_group(host, call).await) };
                         self.gathering.push(Box::pin(next));
                     }
-                    self.gathered.groups.insert(number);
                     self.on_message(message, stamps, &shards);
                     if is_over {
                         self.plan.abandon_gathered(&shards);
                     }
                     return;
                 }
-                None => GroupFailure::Lost("a message has parts that were not asked for".into()),
-            },
+                GroupFailure::Lost("a message has parts that were not asked for".into())
+            }
             Err(failure) => failure,
         };
         let (label, may_have_run, detail) = match failure {
@@ -109,7 +106,7 @@
         };
         metrics::counter!("vanillapick_group_failures_total", "end" => label).increment(1);
         self.failures.push(format!("group {number}: {detail}"));
-        if label == "exhausted" || self.gathered.groups.contains(&number) {
+        if label == "exhausted" || self.gathered.confirmed_groups.contains(&number) {
             self.plan.abandon_gathered(&shards);
             return;
         }
