Relay: refused connections wake the task that shares them, and shared writes have one delay

Every host looked for refusals each 100 ms, though nearly always there are none. An attempt that cannot open a connection wakes the task now.

--- a/crates/relay/src/crash_exchange.rs
+++ b/crates/relay/src/crash_exchange.rs
@@ -7,7 +7,6 @@
 use futures_util::future::join_all;
 use hyper::Method;
 use hyper::StatusCode;
-use rand::Rng;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::mpsc::UnboundedSender;
 use vanillapick_dispatch::crash_guard::CrashGuard;
@@ -24,6 +23,8 @@
 use crate::part_peers::PartPeer;
 use crate::part_peers::peer_call;
 use crate::relay_host::RelayHost;
+use crate::shared_write::shared_write_delay;
+use crate::shared_write::sleep_if;
 use crate::store_client::StoreClient;
 use crate::store_client::StoreError;
 use crate::wire::LeaseId;
@@ -45,10 +46,7 @@
 /// Time in which hosts that reach each other notice an outage, whose losses are not written.
 const OUTAGE_NOTICE_TIME: Duration = Duration::from_millis(300);
 
-/// Delay of writes that any host can make, for each host, so that one or few of them do.
-const SHARED_WRITE_DELAY: Duration = Duration::from_millis(20);
-
-/// Lower and upper bound of the maximum of that delay.
+/// Bounds of the longest delay of writes that any host can make.
 const SHARED_WRITE_BOUNDS: (Duration, Duration) =
     (Duration::from_millis(200), Duration::from_secs(6));
 
@@ -158,13 +156,6 @@
     }
 }
 
-async fn sleep_if(wait: Option<Duration>) {
-    match wait {
-        Some(wait) => tokio::time::sleep(wait).await,
-        None => std::future::pending().await,
-    }
-}
-
 struct CrashPublisher {
     host: Arc<RelayHost>,
     store: StoreClient,
@@ -275,13 +266,10 @@
         let missing = self.missing_marks();
         self.due.retain(|fingerprint, _| missing.contains_key(fingerprint));
         let hosts = self.host.view().map_or(1, |view| view.serving.host_count);
-        let hosts = u32::try_from(hosts).unwrap_or(u32::MAX);
-        let (least, most) = SHARED_WRITE_BOUNDS;
-        let bound = SHARED_WRITE_DELAY.saturating_mul(hosts).clamp(least, most);
         let now = self.host.now();
         for fingerprint in missing.into_keys() {
-            let mut rng = self.host.rng();
-            self.due.entry(fingerprint).or_insert_with(|| now + bound.mul_f64(rng.random()));
+            let delay = || shared_write_delay(hosts, SHARED_WRITE_BOUNDS, &mut self.host.rng());
+            self.due.entry(fingerprint).or_insert_with(|| now + delay());
         }
     }
 
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -43,4 +43,5 @@
 mod request_limits;
 mod request_log;
 mod sent_requests;
+mod shared_write;
 mod target_attempt;
--- a/crates/relay/src/refusal_exchange.rs
+++ b/crates/relay/src/refusal_exchange.rs
@@ -5,7 +5,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use rand::Rng;
 use vanillapick_dispatch::target_record::TargetId;
 use vanillapick_dispatch::target_record::TargetRecord;
 use vanillapick_dispatch::target_state::SHARED_REFUSAL_TIME;
@@ -13,16 +12,12 @@
 
 use crate::relay_host::RelayHost;
 use crate::relay_host::RelayView;
+use crate::shared_write::shared_write_delay;
+use crate::shared_write::sleep_if;
 use crate::store_client::StoreClient;
 use crate::store_client::StoreError;
 
-/// Interval at which a host looks for refusals that the store lacks.
-const POLL_PERIOD: Duration = Duration::from_millis(100);
-
-/// Random delay of a write that any host can make, for each host, so that one or few of them do.
-const WRITE_DELAY: Duration = Duration::from_millis(20);
-
-/// Lower and upper bound of the longest delay. A process takes longer than the latter to end and start again.
+/// Bounds of the longest delay of a write. A process takes longer than the latter to end and start again.
 const WRITE_DELAY_BOUNDS: (Duration, Duration) =
     (Duration::from_millis(100), Duration::from_millis(800));
 
@@ -36,15 +31,19 @@
 pub(crate) async fn share_refusals(host: Arc<RelayHost>, store: StoreClient) {
     let mut due: HashMap<TargetId, Duration> = HashMap::new();
     loop {
-        tokio::time::sleep(POLL_PERIOD).await;
+        let next = due.values().min().map(|due| due.saturating_sub(host.now()));
+        tokio::select! {
+            () = host.target_unreachable.notified() => {}
+            () = sleep_if(next) => {}
+        }
         let Some(view) = host.view() else { continue };
         let now = host.now();
         let unshared = unshared_targets(&view, now);
         due.retain(|id, _| unshared.iter().any(|target| target.record.id == *id));
         for target in &unshared {
-            let id = Arc::clone(&target.record.id);
-            due.entry(id)
-                .or_insert_with(|| now + longest_delay(&view).mul_f64(host.rng().random()));
+            let hosts = view.serving.host_count;
+            let delay = || shared_write_delay(hosts, WRITE_DELAY_BOUNDS, &mut host.rng());
+            due.entry(Arc::clone(&target.record.id)).or_insert_with(|| now + delay());
         }
         let is_due =
             |target: &&Arc<TargetState>| due.get(&target.record.id).is_some_and(|due| *due <= now);
@@ -72,12 +71,6 @@
     targets.filter(|target| target.has_unshared_refusal(now)).cloned().collect()
 }
 
-fn longest_delay(view: &RelayView) -> Duration {
-    let hosts = u32::try_from(view.serving.host_count).unwrap_or(u32::MAX);
-    let (least, most) = WRITE_DELAY_BOUNDS;
-    WRITE_DELAY.saturating_mul(hosts).clamp(least, most)
-}
-
 async fn write_refusals(
     host: &RelayHost,
     store: &StoreClient,
--- a/crates/relay/src/relay_host.rs
+++ b/crates/relay/src/relay_host.rs
@@ -12,6 +12,7 @@
 use arc_swap::ArcSwapOption;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use tokio::sync::Notify;
 use tokio::sync::watch;
 use vanillapick_dispatch::config_document::ConfigVersion;
 use vanillapick_dispatch::serving_view::ServingView;
@@ -59,6 +60,8 @@
     /// Requests that crash targets.
     pub(crate) crash_state: CrashState,
     pub(crate) confirmations: ExpectedConfirmations,
+    /// Notified after a connection to a target could not be opened.
+    pub(crate) target_unreachable: Notify,
     /// Memory for the bodies of targets' replies.
     pub(crate) reply_memory: Arc<ReplyMemory>,
     view: ArcSwapOption<RelayView>,
@@ -134,6 +137,7 @@
             reach: TargetReach::default(),
             crash_state: CrashState::default(),
             confirmations: ExpectedConfirmations::default(),
+            target_unreachable: Notify::new(),
             view: ArcSwapOption::empty(),
             started: Instant::now(),
             phase: watch::Sender::new(HostPhase::Serving),
--- a/crates/relay/src/target_attempt.rs
+++ b/crates/relay/src/target_attempt.rs
@@ -188,7 +188,10 @@
                 host.crash_state.record_loss(request.fingerprint, loss, &host.settings.host);
             }
             let outcome = match error {
-                CallError::Unreachable { .. } => AttemptOutcome::NotRun(NotRunCause::Unreachable),
+                CallError::Unreachable { .. } => {
+                    host.target_unreachable.notify_one();
+                    AttemptOutcome::NotRun(NotRunCause::Unreachable)
+                }
                 CallError::Lost { .. } | CallError::Malformed { .. } => AttemptOutcome::Lost,
                 CallError::Withdrawn => AttemptOutcome::NotRun(NotRunCause::Withdrawn),
             };
