--- a/crates/relay/src/refusal_exchange.rs
+++ b/crates/relay/src/refusal_exchange.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 
 use vanillapick_dispatch::target_record::TargetId;
-use vanillapick_dispatch::target_record::TargetRecord;
 use vanillapick_dispatch::target_state::SHARED_REFUSAL_TIME;
 use vanillapick_dispatch::target_state::TargetState;
 
@@ -79,8 +78,9 @@
     let wire = host.wire.store;
     let call = (wire.lease)(SHARED_REFUSAL_TIME);
     let lease = store.read(call, Duration::ZERO, wire.read_lease).await?;
-    let records: Vec<&TargetRecord> = targets.iter().map(|target| &target.record).collect();
-    store.send((wire.put_refusals)(&records, lease), Duration::ZERO).await?;
+    let refused: Vec<(&TargetId, u64)> =
+        targets.iter().map(|target| (&target.record.id, target.record.started_ms)).collect();
+    store.send((wire.put_refusals)(&refused, lease), Duration::ZERO).await?;
     metrics::counter!("vanillapick_refusal_writes_total").increment(1);
     tracing::info!(targets = targets.len(), "refused connections recorded");
     Ok(())
--- a/crates/relay/src/wire.rs
+++ b/crates/relay/src/wire.rs
@@ -18,7 +18,7 @@
 pub use vanillapick_dispatch::store_position::StoreEra;
 pub use vanillapick_dispatch::store_position::StorePosition;
 pub use vanillapick_dispatch::store_position::StoreRevision;
-use vanillapick_dispatch::target_record::TargetRecord;
+use vanillapick_dispatch::target_record::TargetId;
 use vanillapick_dispatch::version_split::MoveRecord;
 
 /// All protocols of one platform.
@@ -144,8 +144,8 @@
     pub clear_mark: fn(&CrashMark, LeaseId) -> StoreCall,
     /// Publishes, under a lease, the evidence that a host has on requests that crash targets.
     pub put_crash_evidence: fn(&str, &[u8], LeaseId) -> StoreCall,
-    /// Publishes, under a lease, that these targets have refused connections.
-    pub put_refusals: fn(&[&TargetRecord], LeaseId) -> StoreCall,
+    /// Publishes, under a lease, that the processes of these targets, by their start in Unix milliseconds, have refused connections.
+    pub put_refusals: fn(&[(&TargetId, u64)], LeaseId) -> StoreCall,
     /// Writes the evidence that one source has about the move of a pool.
     pub put_evidence: fn(&str, &str, &[u8]) -> StoreCall,
     /// Removes the evidence that these sources have written about moves of a pool.
