Relay: refusals that a probe has seen are shared, and those of many attempts at once are looked for once

Each failed attempt also had all targets looked through; now those of 20 ms share one look. Read in the code, not measured.

--- a/crates/relay/src/reach_monitor.rs
+++ b/crates/relay/src/reach_monitor.rs
@@ -102,7 +102,11 @@
 async fn probe(host: &Arc<RelayHost>, view: &RelayView, count: usize) -> bool {
     let targets = view.connections.sample(count, &mut host.rng());
     let probes = targets.iter().map(|target| target.probe(PROBE_TIMEOUT, || host.now()));
-    join_all(probes).await.contains(&Some(true))
+    let accepted = join_all(probes).await;
+    if accepted.contains(&Some(false)) {
+        host.target_unreachable.notify_one();
+    }
+    accepted.contains(&Some(true))
 }
 
 /// State of this host's links to tell another host. A host that has not called a target lately probes some first.
--- a/crates/relay/src/refusal_exchange.rs
+++ b/crates/relay/src/refusal_exchange.rs
@@ -20,6 +20,10 @@
 const WRITE_DELAY_BOUNDS: (Duration, Duration) =
     (Duration::from_millis(100), Duration::from_millis(800));
 
+/// Time in which refusals are collected before the host looks for those that the store lacks. When a failure domain is lost, many
+/// attempts fail at once.
+const COLLECT_TIME: Duration = Duration::from_millis(20);
+
 /// Delay of the next write after a failed one.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 
@@ -32,7 +36,7 @@
     loop {
         let next = due.values().min().map(|due| due.saturating_sub(host.now()));
         tokio::select! {
-            () = host.target_unreachable.notified() => {}
+            () = host.target_unreachable.notified() => tokio::time::sleep(COLLECT_TIME).await,
             () = sleep_if(next) => {}
         }
         let Some(view) = host.view() else { continue };
